--- /dev/null
+++ b/src/galenapulley/clock.cpp
@@ -0,0 +1,24 @@
+#include "galenapulley/clock.hpp"
+
+#include <chrono>
+#include <ctime>
+
+namespace galenapulley
+{
+
+msec steady_clock::now() const
+{
+    // CLOCK_BOOTTIME also counts the time a virtual machine was suspended.
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return static_cast<msec>(ts.tv_sec) * 1000 + ts.tv_nsec / 1'000'000;
+}
+
+msec wall_time()
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/error_kind.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <absl/status/status.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace galenapulley
+{
+
+/// Every way in which a request or an operator's call can fail.
+enum class error_kind
+{
+    bad_request,
+    unauthorized,
+    forbidden,
+    unknown_service,
+    unknown_model,
+    unknown_route,
+    prompt_too_long,
+    body_incomplete,
+    missing_idempotency_key,
+    key_reused,
+    invalid_document,
+    version_conflict,
+    overloaded,
+    customer_limit,
+    deadline_unreachable,
+    no_back_end,
+    store_unavailable,
+    isolated,
+    no_baseline,
+    node_leaving,
+    request_quarantined,
+    in_progress,
+    outcome_unknown,
+    deadline_exceeded,
+    back_end_failed,
+    stream_broken,
+    cancelled,
+    internal
+};
+
+constexpr int error_kind_count = static_cast<int>(error_kind::internal) + 1;
+
+/// Whether a failed request was executed by a back end.
+enum class execution
+{
+    not_run,
+    may_have_run,
+    ran
+};
+
+/// The answer that belongs to an error kind.
+struct error_answer
+{
+    error_kind kind;
+    std::string_view name;
+    int http_status;
+    absl::StatusCode code;
+    execution ran;
+    /// When a repeat may succeed; 0 if a repeat of the same call can't.
+    msec retry_after;
+};
+
+const error_answer& answer_for(error_kind kind);
+std::string_view name_of(error_kind kind);
+std::string_view name_of(execution ran);
+std::optional<error_kind> error_kind_from_name(std::string_view name);
+
+/// Makes a status that carries the error kind.
+absl::Status make_error(error_kind kind, std::string_view message);
+
+/// Returns the kind carried by a failed status; `internal` if it has none.
+error_kind kind_of(const absl::Status& status);
+
+/// The JSON body of an error answer. `ran` overrides the kind's default.
+std::string error_body(const absl::Status& status,
+                       std::optional<execution> ran = std::nullopt);
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/main/main.cpp
@@ -0,0 +1,6 @@
+#include "galenapulley/clock.hpp"
+
+int main()
+{
+    return galenapulley::wall_time() > 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/node/http_server.cpp
@@ -0,0 +1,329 @@
+#include "node/http_server.hpp"
+
+#include "node/worker_transport.hpp"
+
+#include <pistache/http.h>
+#include <pistache/listener.h>
+#include <pistache/peer.h>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace galenapulley
+{
+
+using namespace Pistache;
+
+namespace
+{
+
+std::string to_lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+std::string percent_decode(const std::string& text)
+{
+    std::string out;
+    for (std::size_t n = 0; n < text.size(); ++n)
+    {
+        const bool escaped = text[n] == '%' && n + 2 < text.size() &&
+                             std::isxdigit(text[n + 1]) != 0 &&
+                             std::isxdigit(text[n + 2]) != 0;
+        if (escaped)
+        {
+            out += static_cast<char>(
+                std::stoi(text.substr(n + 1, 2), nullptr, 16));
+            n += 2;
+        }
+        else
+            out += text[n] == '+' ? ' ' : text[n];
+    }
+    return out;
+}
+
+http_request to_request(const Http::Request& source)
+{
+    http_request request;
+    request.method = Http::methodString(source.method());
+    request.path = source.resource();
+    request.query = source.query().as_str();
+    if (!request.query.empty() && request.query.front() == '?')
+        request.query.erase(0, 1);
+    for (const auto& it : source.headers().rawList())
+        request.headers[to_lower(it.first)] = it.second.value();
+    request.body = source.body();
+    return request;
+}
+
+/// State of one exchange; touched on the worker thread only.
+class pistache_exchange final
+    : public http_exchange,
+      public std::enable_shared_from_this<pistache_exchange>
+{
+public:
+    pistache_exchange(worker_transport* worker, Http::ResponseWriter writer,
+                      std::function<void()> completed)
+        : worker_(worker)
+        , writer_(std::move(writer))
+        , completed_(std::move(completed))
+    {
+    }
+
+    void respond(http_answer answer) override
+    {
+        run(
+            [this, answer = std::move(answer)]
+            {
+                set_head(answer);
+                writer_->send(Http::Code(answer.status), answer.body);
+                // A queued write would go to the bare descriptor, which may
+                // belong to another caller by then.
+                worker_->flush();
+                complete();
+            });
+    }
+
+    void start_stream(http_answer head) override
+    {
+        run(
+            [this, head = std::move(head)]
+            {
+                set_head(head);
+                stream_.emplace(
+                    writer_->stream(Http::Code(head.status), max_chunk));
+                stream_->flush();
+            });
+    }
+
+    void write(std::string chunk) override
+    {
+        run(
+            [this, chunk = std::move(chunk)]
+            {
+                if (!stream_ || chunk.empty())
+                    return;
+                stream_->write(chunk.data(),
+                               static_cast<std::streamsize>(chunk.size()));
+                stream_->flush();
+            });
+    }
+
+    void finish_stream() override
+    {
+        run(
+            [this]
+            {
+                if (!stream_)
+                    return;
+                stream_->ends();
+                worker_->flush();
+                complete();
+            });
+    }
+
+    void abort() override
+    {
+        run(
+            [this]
+            {
+                const auto peer = writer_->getPeer();
+                complete();
+                if (peer)
+                    ::shutdown(peer->fd(), SHUT_RDWR);
+            });
+    }
+
+    void on_disconnect(std::function<void()> callback) override
+    {
+        worker_->post(
+            [self = shared_from_this(), callback = std::move(callback)]
+            {
+                if (self->gone_)
+                    callback();
+                else if (self->writer_)
+                    self->disconnected_ = callback;
+            });
+    }
+
+    /// Called on the worker thread when the connection ends.
+    void connection_lost()
+    {
+        gone_ = true;
+        stream_.reset();
+        writer_.reset();
+        completed_ = nullptr;
+        if (auto callback = std::exchange(disconnected_, nullptr))
+            callback();
+    }
+
+private:
+    static constexpr std::size_t max_chunk = 64 << 10;
+
+    template <typename Task>
+    void run(Task task)
+    {
+        worker_->post(
+            [self = shared_from_this(), task = std::move(task)]
+            {
+                // The peer may have left while the task was queued.
+                if (!self->writer_ || !self->writer_->getPeer())
+                    return;
+                task();
+            });
+    }
+
+    void set_head(const http_answer& answer)
+    {
+        writer_->headers().addRaw(
+            Http::Header::Raw("Content-Type", answer.content_type));
+        for (const auto& it : answer.headers)
+            writer_->headers().addRaw(Http::Header::Raw(it.first, it.second));
+    }
+
+    void complete()
+    {
+        stream_.reset();
+        writer_.reset();
+        disconnected_ = nullptr;
+        if (auto callback = std::exchange(completed_, nullptr))
+            callback();
+    }
+
+    worker_transport* worker_;
+    std::optional<Http::ResponseWriter> writer_;
+    std::optional<Http::ResponseStream> stream_;
+    std::function<void()> completed_;
+    std::function<void()> disconnected_;
+    bool gone_ = false;
+};
+
+/// Pistache clones the handler for each worker, so members are per worker.
+class exchange_handler final : public Http::Handler
+{
+    HTTP_PROTOTYPE(exchange_handler)
+
+public:
+    explicit exchange_handler(http_server::handler_type handler)
+        : handler_(std::move(handler))
+    {
+    }
+
+private:
+    void onRequest(const Http::Request& request,
+                   Http::ResponseWriter writer) override
+    {
+        auto* worker = dynamic_cast<worker_transport*>(transport());
+        const auto peer = writer.getPeer();
+        const auto id = peer->getID();
+        if (exchanges_.count(id) != 0)
+        {
+            // Answers to pipelined requests could be paired wrongly.
+            ::shutdown(peer->fd(), SHUT_RDWR);
+            return;
+        }
+        auto exchange = std::make_shared<pistache_exchange>(
+            worker, std::move(writer), [this, id] { exchanges_.erase(id); });
+        exchanges_.emplace(id, exchange);
+        handler_(to_request(request), exchange);
+    }
+
+    void onDisconnection(const std::shared_ptr<Tcp::Peer>& peer) override
+    {
+        const auto it = exchanges_.find(peer->getID());
+        if (it == exchanges_.end())
+            return;
+        const auto exchange = it->second;
+        exchanges_.erase(it);
+        exchange->connection_lost();
+    }
+
+    http_server::handler_type handler_;
+    std::unordered_map<std::size_t, std::shared_ptr<pistache_exchange>>
+        exchanges_;
+};
+
+} // namespace
+
+const std::string& http_request::header(const std::string& name) const
+{
+    static const std::string none;
+    const auto it = headers.find(name);
+    return it == headers.end() ? none : it->second;
+}
+
+std::string http_request::query_value(const std::string& name) const
+{
+    std::size_t begin = 0;
+    while (begin < query.size())
+    {
+        const auto end = std::min(query.find('&', begin), query.size());
+        const auto pair = query.substr(begin, end - begin);
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name)
+            return equals == std::string::npos
+                       ? std::string()
+                       : percent_decode(pair.substr(equals + 1));
+        begin = end + 1;
+    }
+    return {};
+}
+
+http_server::http_server(const http_server_options& options,
+                         handler_type handler)
+    : options_(options), handler_(std::move(handler))
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+void http_server::start()
+{
+    auto handler = std::make_shared<exchange_handler>(handler_);
+    handler->setMaxRequestSize(options_.max_request_bytes);
+    handler->setMaxResponseSize(options_.max_request_bytes);
+    // A huge prompt over a slow link takes longer than Pistache's defaults.
+    handler->setHeaderTimeout(std::chrono::seconds(60));
+    handler->setBodyTimeout(std::chrono::seconds(60));
+
+    listener_ = std::make_unique<Tcp::Listener>(
+        Address(options_.address, Port(options_.port)));
+    Flags<Tcp::Options> flags(Tcp::Options::ReuseAddr);
+    flags.setFlag(Tcp::Options::NoDelay);
+    listener_->init(static_cast<std::size_t>(options_.workers), flags);
+    listener_->setTransportFactory(
+        [handler]
+        {
+            return std::make_shared<worker_transport>(
+                std::static_pointer_cast<Tcp::Handler>(handler));
+        });
+    listener_->setHandler(handler);
+    listener_->bind();
+    listener_->runThreaded();
+}
+
+void http_server::stop()
+{
+    if (!listener_)
+        return;
+    listener_->shutdown();
+    listener_.reset();
+}
+
+std::uint16_t http_server::port() const
+{
+    return listener_ ? static_cast<std::uint16_t>(listener_->getPort()) : 0;
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/tests/unit/error_kind_test.cpp
@@ -0,0 +1,31 @@
+#include "galenapulley/error_kind.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace galenapulley;
+
+// Guards against a table row that stands at the wrong index: every answer
+// would then carry another kind's status and "not run" flag.
+BOOST_AUTO_TEST_CASE(table_matches_the_enum)
+{
+    for (int n = 0; n < error_kind_count; ++n)
+    {
+        const auto kind = static_cast<error_kind>(n);
+        BOOST_TEST((answer_for(kind).kind == kind));
+        BOOST_TEST(
+            (error_kind_from_name(name_of(kind)) == std::optional(kind)));
+        BOOST_TEST((kind_of(make_error(kind, "x")) == kind));
+    }
+}
+
+// Guards against an error body that loses the execution state.
+BOOST_AUTO_TEST_CASE(body_states_whether_the_request_ran)
+{
+    const auto status = make_error(error_kind::back_end_failed, "gone");
+    auto body = nlohmann::json::parse(error_body(status));
+    BOOST_TEST(body["error"]["ran"] == "may_have_run");
+    body = nlohmann::json::parse(error_body(status, execution::not_run));
+    BOOST_TEST(body["error"]["ran"] == "not_run");
+}
