Scheduler: headers of the scheduling modules

Cause: other parts of the library code against these interfaces while the implementation is written.

--- /dev/null
+++ b/src/galenapulley/back_end_load.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "galenapulley/back_end.hpp"
+#include "galenapulley/clock.hpp"
+#include "galenapulley/warm_up.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace galenapulley
+{
+
+struct load_report;
+
+/// What a shard owner knows of the load of one back end.
+class back_end_load
+{
+public:
+    back_end_load(const back_end& target, bool reports, msec now);
+
+    const back_end& target() const { return target_; }
+    warm_up& ramp() { return ramp_; }
+    const warm_up& ramp() const { return ramp_; }
+    /// Hash of the name; it stays the same when the document changes.
+    std::uint64_t id() const { return id_; }
+
+    /// Takes over a changed document entry. A new address is a new back end.
+    void set_target(const back_end& target, bool reports, msec now);
+
+    void start(std::size_t length_class, std::uint32_t kv_tokens, msec now);
+    void finish(std::size_t length_class, std::uint32_t kv_tokens,
+                msec granted_at, msec now);
+    /// Adds prefill work and returns the tokens outstanding including it.
+    std::uint64_t add_prefill(std::uint32_t tokens, bool is_long, msec now);
+    /// Forgets permits; keeps reports and the ramp.
+    void clear(std::size_t classes);
+
+    void on_report(const load_report& report, msec now);
+    void on_unreachable(msec now);
+    /// Whether a connection failed recently and no report came since.
+    bool is_unreachable(msec now) const { return now < unreachable_until_; }
+
+    /// Permits of this owner.
+    std::uint32_t permits() const { return permits_; }
+    /// Permits of that length class and longer ones.
+    std::uint32_t permits_from(std::size_t length_class) const;
+    /// Permits plus reported requests that belong to no known permit.
+    std::uint32_t running() const { return permits_ + foreign_; }
+    std::uint32_t kv_booked() const;
+    /// KV memory: the smaller of the document's and the reported figure.
+    std::uint32_t kv_tokens() const;
+    std::uint64_t prefill_tokens(msec now) const;
+    bool has_long_prefill(msec now) const { return now < long_until_; }
+
+    /// Whether the service document still lists it in this shard.
+    bool listed = true;
+    /// Whether fleet and machine list allow new work.
+    bool admitted = true;
+    /// Whether long prompts may be placed here.
+    bool takes_long = true;
+
+private:
+    struct ended_permit
+    {
+        msec granted_at = 0;
+        msec ended_at = 0;
+    };
+
+    std::uint32_t known_at(msec instant) const;
+
+    back_end target_;
+    std::uint64_t id_;
+    warm_up ramp_;
+    std::vector<std::uint32_t> by_class_;
+    /// Grant times of running permits.
+    std::vector<msec> granted_;
+    /// Permits that ended after the instant of the last report.
+    std::vector<ended_permit> ended_;
+    std::uint32_t permits_ = 0;
+    std::uint32_t foreign_ = 0;
+    std::uint32_t kv_booked_ = 0;
+    std::uint32_t kv_reported_ = 0;
+    std::uint32_t kv_capacity_ = 0;
+    msec unreachable_until_ = 0;
+    /// Expected end of the prefill work granted so far.
+    msec prefill_until_ = 0;
+    msec long_until_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/retry_budget.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace galenapulley
+{
+
+/// Bound on a node's retries: 10% of its requests plus 10 in any 10 s.
+class retry_budget
+{
+public:
+    static constexpr msec window = 10'000_ms;
+    static constexpr std::uint32_t base_retries = 10;
+    static constexpr std::uint32_t requests_per_retry = 10;
+    /// Back ends that one request may try.
+    static constexpr std::uint32_t max_attempts = 2;
+
+    void on_request(msec now);
+    /// Takes one retry from the budget. `attempts` counts the back ends that
+    /// the request has tried. Returns false if no retry is allowed.
+    bool take_retry(std::uint32_t attempts, msec now);
+
+private:
+    struct bucket
+    {
+        std::int64_t second = -1;
+        std::uint64_t requests = 0;
+        std::uint64_t retries = 0;
+    };
+
+    bucket& current(msec now);
+    bool has_budget(msec now) const;
+
+    std::array<bucket, 10> buckets_{};
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/warm_up.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <cstdint>
+
+namespace galenapulley
+{
+
+struct load_report;
+
+/// Limit of one back end while it warms. Detects that it turned cold.
+class warm_up
+{
+public:
+    struct limits
+    {
+        std::uint32_t slots = 1;
+        std::uint32_t cold_slots = 1;
+        /// A plain server sends no load reports, so its ramp needs none.
+        bool reports = true;
+    };
+
+    /// The back end is new and therefore cold.
+    warm_up(limits bounds, msec now);
+
+    /// Takes over changed limits without a new ramp.
+    void set_limits(limits bounds);
+
+    /// Requests that the back end may run at once.
+    std::uint32_t limit(msec now) const;
+    bool is_warm(msec now) const;
+
+    /// Restarts the ramp when the report says cold or has a new incarnation.
+    void on_report(const load_report& report, msec now);
+    /// A connection failed or was lost.
+    void on_connection_failure(msec now);
+    /// A request failed: the current step starts again.
+    void on_error(msec now);
+    /// `tokens` counts the prompt and the prefill work queued before it.
+    /// Returns true if the time shows that the back end turned cold.
+    bool on_first_token(std::uint64_t tokens, msec took, msec now);
+
+    /// Expected time to the first token behind `tokens` of prefill work.
+    msec expected_first_token(std::uint64_t tokens) const;
+    /// Number of times that the ramp was restarted.
+    std::uint32_t restarts() const { return restarts_; }
+
+private:
+    void restart(msec now);
+    std::uint32_t steps(msec now) const;
+    void learn(double per_token, double weight);
+
+    limits bounds_;
+    /// Start of the ramp; moved forward by errors.
+    msec since_;
+    /// Whether the ramp may advance.
+    bool may_advance_;
+    bool reported_ = false;
+    std::int64_t incarnation_ = 0;
+    double ms_per_token_;
+    std::uint32_t samples_ = 0;
+    std::uint32_t restarts_ = 0;
+};
+
+} // namespace galenapulley
