--- a/src/galenapulley/back_end_load.hpp
+++ b/src/galenapulley/back_end_load.hpp
@@ -34,6 +34,8 @@
     std::uint64_t add_prefill(std::uint32_t tokens, bool is_long, msec now);
     /// Forgets permits; keeps reports and the ramp.
     void clear(std::size_t classes);
+    /// Forgets ended permits, so that reports count them as unknown load.
+    void forget_ended() { ended_.clear(); }
 
     void on_report(const load_report& report, msec now);
     void on_unreachable(msec now);
@@ -46,7 +48,7 @@
     std::uint32_t permits_from(std::size_t length_class) const;
     /// Permits plus reported requests that belong to no known permit.
     std::uint32_t running() const { return permits_ + foreign_; }
-    std::uint32_t kv_booked() const;
+    std::uint32_t kv_booked() const { return kv_booked_ + kv_foreign_; }
     /// KV memory: the smaller of the document's and the reported figure.
     std::uint32_t kv_tokens() const;
     std::uint64_t prefill_tokens(msec now) const;
@@ -58,6 +60,8 @@
     bool admitted = true;
     /// Whether long prompts may be placed here.
     bool takes_long = true;
+    /// Whether a queued request over several engines waits for its memory.
+    bool held = false;
 
 private:
     struct ended_permit
@@ -66,7 +70,8 @@
         msec ended_at = 0;
     };
 
-    std::uint32_t known_at(msec instant) const;
+    /// Permits granted by an instant that had not ended at another one.
+    std::uint32_t known_at(msec granted_by, msec instant) const;
 
     back_end target_;
     std::uint64_t id_;
@@ -79,12 +84,13 @@
     std::uint32_t permits_ = 0;
     std::uint32_t foreign_ = 0;
     std::uint32_t kv_booked_ = 0;
-    std::uint32_t kv_reported_ = 0;
+    std::uint32_t kv_foreign_ = 0;
     std::uint32_t kv_capacity_ = 0;
     msec unreachable_until_ = 0;
     /// Expected end of the prefill work granted so far.
     msec prefill_until_ = 0;
     msec long_until_ = 0;
+    msec prefill_added_at_ = 0;
 };
 
 } // namespace galenapulley
--- a/src/galenapulley/fair_queue.hpp
+++ b/src/galenapulley/fair_queue.hpp
@@ -52,7 +52,8 @@
     };
 
     void leave_ring(const std::string& customer);
-    void next_turn();
+    /// Credits the customer whose turn starts.
+    void begin_turn();
 
     std::uint32_t quantum_;
     std::unordered_map<std::string, lane> lanes_;
--- a/src/galenapulley/retry_budget.hpp
+++ b/src/galenapulley/retry_budget.hpp
@@ -35,7 +35,8 @@
     bucket& current(msec now);
     bool has_budget(msec now) const;
 
-    std::array<bucket, 10> buckets_{};
+    /// One more than the window has, so that a partly covered second counts.
+    std::array<bucket, 11> buckets_{};
 };
 
 } // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/shard_picker.cpp
@@ -0,0 +1,167 @@
+#include "galenapulley/shard_picker.hpp"
+
+#include "galenapulley/fleet.hpp"
+#include "galenapulley/service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+/// Free slots assumed of a shard whose digest is missing or old.
+constexpr std::uint32_t unknown_free_slots = 1;
+constexpr msec digest_lifetime = 10_sec;
+/// An owner that didn't answer is avoided until its next digest or this time.
+constexpr msec silence_time = 3_sec;
+
+} // namespace
+
+shard_picker::shard_picker(std::string own_zone)
+    : own_zone_(std::move(own_zone))
+{
+}
+
+void shard_picker::set_service(const service& document)
+{
+    std::vector<shard_view> views;
+    for (const auto& id : document.shards())
+    {
+        if (const auto* known = find(id))
+        {
+            views.push_back(*known);
+            continue;
+        }
+        views.emplace_back();
+        views.back().shard = id;
+        views.back().zone = zone_of_shard(id);
+        views.back().withdrawn = withdrawn_zones_.count(views.back().zone) > 0;
+    }
+    views_ = std::move(views);
+}
+
+void shard_picker::set_fleet(const fleet& document)
+{
+    withdrawn_zones_ = document.withdrawn_zones;
+    for (auto& it : views_)
+        it.withdrawn = withdrawn_zones_.count(it.zone) > 0;
+}
+
+void shard_picker::set_owner_known(const std::string& shard, bool known)
+{
+    if (auto* it = find(shard))
+        it->owner_known = known;
+}
+
+void shard_picker::on_capacity(const shard_capacity& digest, msec now)
+{
+    auto* it = find(digest.shard);
+    if (it == nullptr || digest.epoch < it->epoch)
+        return;
+    it->epoch = digest.epoch;
+    it->free_slots = digest.free_slots_by_class;
+    it->queued = digest.queued;
+    it->heard = true;
+    it->heard_at = now;
+    it->silent_until = 0;
+}
+
+void shard_picker::on_free_slots(const std::string& shard,
+                                 std::size_t length_class,
+                                 std::uint32_t free_slots, msec now)
+{
+    auto* it = find(shard);
+    if (it == nullptr)
+        return;
+    if (it->free_slots.size() <= length_class)
+        it->free_slots.resize(length_class + 1, unknown_free_slots);
+    it->free_slots[length_class] = free_slots;
+    it->heard = true;
+    it->heard_at = now;
+    it->silent_until = 0;
+}
+
+void shard_picker::on_silence(const std::string& shard, msec now)
+{
+    if (auto* it = find(shard))
+        it->silent_until = now + silence_time;
+}
+
+std::optional<std::string>
+shard_picker::pick(std::size_t length_class,
+                   const std::vector<std::string>& tried, msec now,
+                   generator& random)
+{
+    auto best = tier::unusable;
+    best_.clear();
+    for (std::size_t n = 0; n < views_.size(); ++n)
+    {
+        const auto it = tier_of(views_[n], length_class, now);
+        if (it == tier::unusable || it > best ||
+            std::find(tried.begin(), tried.end(), views_[n].shard) !=
+                tried.end())
+            continue;
+        if (it < best)
+            best_.clear();
+        best = it;
+        best_.push_back(n);
+    }
+    if (best_.empty())
+        return std::nullopt;
+    const auto first = random() % best_.size();
+    auto second = first;
+    if (best_.size() > 1)
+        second = (first + 1 + random() % (best_.size() - 1)) % best_.size();
+    auto& a = views_[best_[first]];
+    auto& b = views_[best_[second]];
+    auto& chosen = is_better(b, a, length_class, now) ? b : a;
+    // The next requests of this node see the slot as taken until the owner's
+    // next word.
+    if (length_class < chosen.free_slots.size() &&
+        chosen.free_slots[length_class] > 0)
+        --chosen.free_slots[length_class];
+    return chosen.shard;
+}
+
+shard_picker::shard_view* shard_picker::find(const std::string& shard)
+{
+    const auto it =
+        std::find_if(views_.begin(), views_.end(),
+                     [&](const shard_view& v) { return v.shard == shard; });
+    return it == views_.end() ? nullptr : &*it;
+}
+
+std::uint32_t shard_picker::free_slots(const shard_view& view,
+                                       std::size_t length_class, msec now) const
+{
+    if (!view.heard || now - view.heard_at > digest_lifetime ||
+        length_class >= view.free_slots.size())
+        return unknown_free_slots;
+    return view.free_slots[length_class];
+}
+
+shard_picker::tier shard_picker::tier_of(const shard_view& view,
+                                         std::size_t length_class,
+                                         msec now) const
+{
+    if (view.withdrawn || !view.owner_known)
+        return tier::unusable;
+    if (now < view.silent_until)
+        return tier::silent;
+    if (free_slots(view, length_class, now) == 0)
+        return tier::full;
+    return view.zone == own_zone_ ? tier::own_zone_free : tier::other_zone_free;
+}
+
+bool shard_picker::is_better(const shard_view& a, const shard_view& b,
+                             std::size_t length_class, msec now) const
+{
+    const auto free_a = free_slots(a, length_class, now);
+    const auto free_b = free_slots(b, length_class, now);
+    return free_a != free_b ? free_a > free_b : a.queued < b.queued;
+}
+
+} // namespace galenapulley
--- a/src/galenapulley/shard_picker.hpp
+++ b/src/galenapulley/shard_picker.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,7 @@
                    std::size_t length_class, msec now) const;
 
     std::string own_zone_;
+    std::set<std::string> withdrawn_zones_;
     std::vector<shard_view> views_;
     /// Scratch space of pick().
     std::vector<std::size_t> best_;
--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -82,7 +83,8 @@
     void on_load_report(const std::string& back_end, const load_report& report);
     void on_back_end_unreachable(const std::string& back_end);
 
-    /// Requests of the class that could be granted now.
+    /// Requests of the class that could be granted, as of the last tick or
+    /// change.
     std::uint32_t free_slots(std::size_t length_class) const;
     std::vector<std::uint32_t> free_slots_by_class() const;
     std::size_t queued() const { return queued_.size(); }
@@ -120,6 +122,8 @@
         std::uint32_t prompt_tokens = 0;
         msec granted_at = 0;
         msec expires_at = 0;
+        /// Granted by a former owner, so its start is unknown.
+        bool registered = false;
         std::vector<booked_share> shares;
     };
 
@@ -127,6 +131,7 @@
     {
         permit_query query;
         std::uint64_t id = 0;
+        msec latest_start = 0;
     };
 
     /// Recent load of a length class.
@@ -138,49 +143,71 @@
         std::uint32_t running = 0;
     };
 
+    /// Requests of a customer that run or wait, and its limits.
+    struct customer_load
+    {
+        std::uint32_t weight = 1;
+        std::uint32_t max_in_flight = 50;
+        std::uint32_t in_flight = 0;
+    };
+
     using expiry = std::pair<msec, permit_key>;
 
     // Admission.
-    std::size_t class_of(const permit_query& query) const;
     permit_decision refuse(const permit_key& key, error_kind kind,
                            msec retry_after = 0);
-    bool find_refusal(const permit_query& query, error_kind& kind);
-    bool is_over_customer_limit(const std::string& customer) const;
+    std::optional<error_kind> find_refusal(const permit_query& query);
+    bool is_possible(const permit_query& query) const;
     bool gives_way(std::size_t length_class) const;
+    void update_yielding();
+    bool may_grant(std::size_t length_class) const;
     msec expected_wait(const permit_query& query) const;
     msec expected_start(const permit_query& query) const;
-    permit_decision enqueue(const permit_query& query);
+    permit_decision enqueue(permit_query&& query);
+    customer_load& load_of(const std::string& customer);
 
     // Placement.
     std::uint32_t kv_need(const permit_query& query) const;
     bool is_usable(const back_end_load& load) const;
-    bool is_excluded(const permit_query& query,
-                     const back_end_load& load) const;
+    bool is_usable_for(const permit_query& query,
+                       const back_end_load& load) const;
     bool is_long(std::size_t length_class) const;
-    bool has_room(const back_end_load& load, std::size_t length_class) const;
     std::uint32_t slots_left(const back_end_load& load,
                              std::size_t length_class) const;
     std::uint32_t kv_limit(const back_end_load& load) const;
-    bool needs_segments(const permit_query& query, bool& possible) const;
+    std::uint32_t kv_free(const back_end_load& load) const;
+    bool needs_segments(const permit_query& query) const;
+    std::size_t segments_needed(const permit_query& query);
+    placement_candidate candidate_for(const permit_query& query,
+                                      const back_end_load& load) const;
     bool place(const permit_query& query, std::vector<booked_share>& shares);
     bool place_whole(const permit_query& query,
                      std::vector<booked_share>& shares);
     bool place_segments(const permit_query& query,
                         std::vector<booked_share>& shares);
+    void hold_back_ends();
+    void hold_back_ends_for(const permit_query& query);
+    std::uint32_t cached_tokens(const permit_query& query,
+                                const back_end_load& load) const;
     void choose_long_back_ends();
     permit_decision grant(const permit_query& query,
                           std::vector<booked_share>&& shares);
 
+    permit_decision decision_for(const permit_key& key,
+                                 const running_permit& permit) const;
+
     // Bookkeeping.
     using permit_map = std::unordered_map<permit_key, running_permit, key_hash>;
-    void book(const running_permit& permit);
+    void book(const permit_key& key, running_permit&& permit);
     permit_map::iterator end_permit(permit_map::iterator it);
     void learn(const running_permit& permit, const permit_result& result);
-    void remove_queued(const permit_key& key);
-    void count_customer(const std::string& customer, int change);
-    void rebuild(std::vector<back_end_load>&& loads);
+    using queue_map = std::unordered_map<permit_key, queued_permit, key_hash>;
+    queue_map::iterator remove_queued(queue_map::iterator it);
+    void rebuild_loads(const std::vector<back_end>& back_ends);
+    void rebook_permits(const std::vector<std::size_t>& new_index);
     void rebuild_queues();
     void update_availability();
+    void update_periodically();
     void expire_permits();
     void refuse_hopeless(std::vector<permit_decision>& decisions);
     bool grant_from(std::size_t length_class,
@@ -199,23 +226,29 @@
     bool lease_held_ = true;
     std::int64_t epoch_ = 0;
     msec grants_from_ = 0;
+    /// Time of the current call, read once.
+    msec now_ = 0;
 
     std::vector<back_end_load> loads_;
     std::vector<class_load> classes_;
     permit_map permits_;
     std::set<expiry> expiries_;
-    std::unordered_map<permit_key, queued_permit, key_hash> queued_;
+    queue_map queued_;
     std::unordered_map<std::uint64_t, permit_key> queued_ids_;
     std::set<expiry> queue_deadlines_;
-    std::unordered_map<std::string, std::uint32_t> in_flight_;
+    std::unordered_map<std::string, customer_load> customers_;
     std::uint64_t next_id_ = 1;
     std::size_t next_class_ = 0;
-    /// Share of the service's back ends that are unavailable.
-    double unavailable_ = 0;
+    /// Back ends of the whole service that documents take out of service.
+    std::size_t withdrawn_ = 0;
+    /// Classes from this one on give way to shorter ones.
+    std::size_t first_yielding_ = static_cast<std::size_t>(-1);
+    /// Whether queued requests have to be checked for a usable back end.
+    bool recheck_queue_ = false;
     /// Recent prefill work of long prompts and of all prompts, in tokens.
     double long_work_ = 0;
     double all_work_ = 0;
-    msec work_since_ = 0;
+    msec updated_at_ = 0;
     refusal_counters refusals_{};
     std::uint64_t expired_ = 0;
     /// Scratch space of a decision, so that it allocates nothing per back end.
--- /dev/null
+++ b/src/galenapulley/strike_book.cpp
@@ -0,0 +1,106 @@
+#include "galenapulley/strike_book.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr msec expiry_interval = 10_sec;
+
+bool is_newer(const strike& a, const strike& b)
+{
+    return std::tie(a.at, a.crash_id) > std::tie(b.at, b.crash_id);
+}
+
+} // namespace
+
+strike_book::strike_book(std::size_t capacity)
+    : capacity_(std::max<std::size_t>(1, capacity))
+{
+}
+
+bool strike_book::add(const strike& item, msec now)
+{
+    expire(now);
+    auto added = item;
+    added.at = std::min(added.at, now);
+    if (added.at + quarantine_time <= now)
+        return false;
+    auto& [crashes, count] = entries_[added.fingerprint];
+    const auto end = crashes.begin() + static_cast<std::ptrdiff_t>(count);
+    const auto known = std::find_if(crashes.begin(), end,
+                                    [&](const strike& it)
+                                    { return it.crash_id == added.crash_id; });
+    if (known != end)
+    {
+        // Each hop adds delay to a strike's age, so the earliest time counts.
+        known->at = std::min(known->at, added.at);
+        std::sort(crashes.begin(), end, is_newer);
+        return false;
+    }
+    if (count == crashes.size() && !is_newer(added, crashes.back()))
+        return false;
+    if (count < crashes.size())
+        ++count;
+    crashes[count - 1] = added;
+    std::sort(crashes.begin(),
+              crashes.begin() + static_cast<std::ptrdiff_t>(count), is_newer);
+    if (entries_.size() > capacity_)
+        evict_oldest();
+    return true;
+}
+
+bool strike_book::is_quarantined(std::uint64_t fingerprint, msec now) const
+{
+    const auto it = entries_.find(fingerprint);
+    if (it == entries_.end() || it->second.count < 2)
+        return false;
+    const auto& [newest, older] = it->second.crashes;
+    return newest.at - older.at < quarantine_time &&
+           now < newest.at + quarantine_time;
+}
+
+std::vector<strike> strike_book::recent(std::size_t max, msec now) const
+{
+    std::vector<strike> strikes;
+    for (const auto& [fingerprint, it] : entries_)
+    {
+        for (std::size_t n = 0; n < it.count; ++n)
+        {
+            if (it.crashes[n].at + quarantine_time > now)
+                strikes.push_back(it.crashes[n]);
+        }
+    }
+    std::sort(strikes.begin(), strikes.end(), is_newer);
+    strikes.resize(std::min(max, strikes.size()));
+    return strikes;
+}
+
+void strike_book::expire(msec now)
+{
+    if (now < next_expiry_)
+        return;
+    next_expiry_ = now + expiry_interval;
+    std::erase_if(entries_, [&](const auto& it)
+                  { return it.second.crashes[0].at + quarantine_time <= now; });
+}
+
+void strike_book::evict_oldest()
+{
+    // Single strikes go first, so that many different fingerprints can't end
+    // a quarantine.
+    const auto oldest = std::min_element(
+        entries_.begin(), entries_.end(),
+        [](const auto& a, const auto& b)
+        {
+            return std::tie(a.second.count, a.second.crashes[0].at) <
+                   std::tie(b.second.count, b.second.crashes[0].at);
+        });
+    entries_.erase(oldest);
+}
+
+} // namespace galenapulley
--- a/src/galenapulley/warm_up.hpp
+++ b/src/galenapulley/warm_up.hpp
@@ -43,6 +43,11 @@
 
     /// Expected time to the first token behind `tokens` of prefill work.
     msec expected_first_token(std::uint64_t tokens) const;
+    /// Whether enough first tokens were seen to expect times.
+    bool knows_rate() const;
+    double ms_per_token() const { return ms_per_token_; }
+    /// Start of the current ramp.
+    msec since() const { return since_; }
     /// Number of times that the ramp was restarted.
     std::uint32_t restarts() const { return restarts_; }
 
