--- /dev/null
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -0,0 +1,267 @@
+#pragma once
+
+#include "galenapulley/back_end_load.hpp"
+#include "galenapulley/clock.hpp"
+#include "galenapulley/error_kind.hpp"
+#include "galenapulley/fair_queue.hpp"
+#include "galenapulley/fleet.hpp"
+#include "galenapulley/permit.hpp"
+#include "galenapulley/placement.hpp"
+#include "galenapulley/service.hpp"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace galenapulley
+{
+
+class strike_book;
+
+/// Queued requests of one node process, for keep-alives.
+struct queued_requests
+{
+    std::string node;
+    std::int64_t incarnation = 0;
+    std::vector<std::uint64_t> requests;
+};
+
+/// Grants the permits of one shard. Limits hold exactly over all nodes,
+/// because every permit of the shard is granted here.
+class shard_scheduler
+{
+public:
+    using generator = std::mt19937_64;
+    using refusal_counters = std::array<std::uint64_t, error_kind_count>;
+
+    /// A permit that isn't released ends at its deadline plus this time.
+    static constexpr msec release_grace = 5'000_ms;
+    /// After a claim, nodes register their running permits for this time.
+    static constexpr msec register_time = 1'000_ms;
+
+    shard_scheduler(std::string shard, const clock& time, generator& random);
+
+    /// Running and queued permits are kept.
+    void set_service(const service& document);
+    void set_fleet(const fleet& document,
+                   const std::set<std::string>& leaving_machines);
+    /// `lapsed_owners` halves the limits once per owner that may still grant;
+    /// without its lease this owner grants the other half.
+    void set_allowance(std::uint32_t lapsed_owners, bool lease_held);
+    /// Strikes to check fingerprints against; nullptr for none. The book has to
+    /// outlive the scheduler.
+    void set_strikes(const strike_book* strikes) { strikes_ = strikes; }
+
+    /// Forgets all permits and grants nothing for `register_time`.
+    void start_epoch(std::int64_t epoch);
+    std::int64_t epoch() const { return epoch_; }
+
+    /// Grants, queues or refuses. A repeat of a key gets the same answer.
+    permit_decision request(const permit_query& query);
+    /// Decisions on queued requests. To be called after releases and at least
+    /// every 100 ms.
+    std::vector<permit_decision> tick();
+    /// Removes a queued request or ends an unused permit.
+    void cancel(const permit_key& key);
+    void release(const permit_key& key, const permit_result& result);
+    /// Books a permit that a former owner granted. A deadline of 0 stands for
+    /// the deadline of its length class from now.
+    void register_permit(const permit_key& key,
+                         const std::vector<permit_share>& shares,
+                         const std::string& customer = {}, msec deadline = 0);
+    /// Ends permits and queued requests of the node's incarnations below
+    /// `incarnation`.
+    void drop_node(const std::string& node, std::int64_t incarnation);
+
+    void on_load_report(const std::string& back_end, const load_report& report);
+    void on_back_end_unreachable(const std::string& back_end);
+
+    /// Requests of the class that could be granted, as of the last tick or
+    /// change.
+    std::uint32_t free_slots(std::size_t length_class) const;
+    std::vector<std::uint32_t> free_slots_by_class() const;
+    std::size_t queued() const { return queued_.size(); }
+    std::size_t running() const { return permits_.size(); }
+    std::vector<queued_requests> queued_by_node() const;
+    const refusal_counters& refusals() const { return refusals_; }
+    /// Permits that ended without a release.
+    std::uint64_t expired_permits() const { return expired_; }
+
+    const std::string& shard() const { return shard_; }
+    /// Load of a back end of this shard; nullptr if it is unknown.
+    const back_end_load* find_load(const std::string& back_end) const;
+    /// The limit that this owner may use of a limit of the document.
+    std::uint32_t allowance(std::uint32_t limit) const;
+
+private:
+    struct key_hash
+    {
+        std::size_t operator()(const permit_key& key) const;
+    };
+
+    /// One back end's part of a running permit.
+    struct booked_share
+    {
+        std::size_t index = 0;
+        std::uint32_t tokens = 0;
+        /// Prefill work before and including this prompt at the grant.
+        std::uint64_t prefill_tokens = 0;
+    };
+
+    struct running_permit
+    {
+        std::string customer;
+        std::size_t length_class = 0;
+        std::uint32_t prompt_tokens = 0;
+        msec granted_at = 0;
+        msec expires_at = 0;
+        /// Granted by a former owner, so its start is unknown.
+        bool registered = false;
+        std::vector<booked_share> shares;
+    };
+
+    struct queued_permit
+    {
+        permit_query query;
+        std::uint64_t id = 0;
+        msec latest_start = 0;
+    };
+
+    /// Recent load of a length class.
+    struct class_load
+    {
+        fair_queue queue;
+        /// Running average of the time that a permit is held; 0 if unknown.
+        double held_ms = 0;
+        std::uint32_t running = 0;
+    };
+
+    /// Requests of a customer that run or wait, and its limits.
+    struct customer_load
+    {
+        std::uint32_t weight = 1;
+        std::uint32_t max_in_flight = 50;
+        std::uint32_t in_flight = 0;
+    };
+
+    using expiry = std::pair<msec, permit_key>;
+
+    // Admission.
+    permit_decision refuse(const permit_key& key, error_kind kind,
+                           msec retry_after = 0);
+    std::optional<error_kind> find_refusal(const permit_query& query);
+    bool is_possible(const permit_query& query) const;
+    bool gives_way(std::size_t length_class) const;
+    void update_yielding();
+    bool may_grant(std::size_t length_class) const;
+    msec expected_wait(const permit_query& query) const;
+    msec expected_start(const permit_query& query) const;
+    permit_decision enqueue(permit_query&& query);
+    customer_load& load_of(const std::string& customer);
+
+    // Placement.
+    std::uint32_t kv_need(const permit_query& query) const;
+    bool is_usable(const back_end_load& load) const;
+    bool is_usable_for(const permit_query& query,
+                       const back_end_load& load) const;
+    bool is_long(std::size_t length_class) const;
+    std::uint32_t slots_left(const back_end_load& load,
+                             std::size_t length_class) const;
+    std::uint32_t kv_limit(const back_end_load& load) const;
+    std::uint32_t kv_free(const back_end_load& load) const;
+    bool needs_segments(const permit_query& query) const;
+    std::size_t segments_needed(const permit_query& query);
+    placement_candidate candidate_for(const permit_query& query,
+                                      const back_end_load& load) const;
+    bool place(const permit_query& query, std::vector<booked_share>& shares);
+    bool place_whole(const permit_query& query,
+                     std::vector<booked_share>& shares);
+    bool place_segments(const permit_query& query,
+                        std::vector<booked_share>& shares);
+    void hold_back_ends();
+    void hold_back_ends_for(const permit_query& query);
+    std::uint32_t cached_tokens(const permit_query& query,
+                                const back_end_load& load) const;
+    void choose_long_back_ends();
+    permit_decision grant(const permit_query& query,
+                          std::vector<booked_share>&& shares);
+
+    permit_decision decision_for(const permit_key& key,
+                                 const running_permit& permit) const;
+
+    // Bookkeeping.
+    using permit_map = std::unordered_map<permit_key, running_permit, key_hash>;
+    void book(const permit_key& key, running_permit&& permit);
+    permit_map::iterator end_permit(permit_map::iterator it);
+    void learn(const running_permit& permit, const permit_result& result);
+    using queue_map = std::unordered_map<permit_key, queued_permit, key_hash>;
+    queue_map::iterator remove_queued(queue_map::iterator it);
+    void rebuild_loads(const std::vector<back_end>& back_ends);
+    void rebook_permits(const std::vector<std::size_t>& new_index);
+    void rebuild_queues();
+    void update_availability();
+    void update_periodically();
+    void expire_permits();
+    void refuse_hopeless(std::vector<permit_decision>& decisions);
+    bool grant_from(std::size_t length_class,
+                    std::vector<permit_decision>& decisions);
+    void grant_queued(std::vector<permit_decision>& decisions);
+
+    std::string shard_;
+    const clock& clock_;
+    generator& random_;
+    const strike_book* strikes_ = nullptr;
+    service service_;
+    fleet fleet_;
+    std::set<std::string> leaving_;
+    std::unique_ptr<placement> placement_;
+    std::uint32_t lapsed_owners_ = 0;
+    bool lease_held_ = true;
+    std::int64_t epoch_ = 0;
+    msec grants_from_ = 0;
+    /// Time of the current call, read once.
+    msec now_ = 0;
+
+    std::vector<back_end_load> loads_;
+    std::vector<class_load> classes_;
+    permit_map permits_;
+    std::set<expiry> expiries_;
+    queue_map queued_;
+    std::unordered_map<std::uint64_t, permit_key> queued_ids_;
+    std::set<expiry> queue_deadlines_;
+    std::unordered_map<std::string, customer_load> customers_;
+    std::uint64_t next_id_ = 1;
+    std::size_t next_class_ = 0;
+    /// Back ends of the whole service that documents take out of service.
+    std::size_t withdrawn_ = 0;
+    /// Classes from this one on give way to shorter ones.
+    std::size_t first_yielding_ = static_cast<std::size_t>(-1);
+    /// Whether queued requests have to be checked for a usable back end.
+    bool recheck_queue_ = false;
+    /// Recent prefill work of long prompts and of all prompts, in tokens.
+    double long_work_ = 0;
+    double all_work_ = 0;
+    msec updated_at_ = 0;
+    refusal_counters refusals_{};
+    std::uint64_t expired_ = 0;
+    /// Scratch space of a decision, so that it allocates nothing per back end.
+    std::vector<placement_candidate> candidates_;
+    std::vector<std::size_t> order_;
+    std::vector<std::uint64_t> heads_;
+    /// Back end that last ran a prompt with a prefix, by hash of the prefix.
+    struct prefix_slot
+    {
+        std::uint64_t prefix = 0;
+        std::uint64_t back_end = 0;
+    };
+    std::array<prefix_slot, 512> prefixes_{};
+};
+
+} // namespace galenapulley
