--- /dev/null
+++ b/src/galenapulley/config_change.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "galenapulley/config_document.hpp"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace galenapulley
+{
+
+/// A change of one configuration document, as an operator or a team orders it.
+class config_change
+{
+public:
+    virtual ~config_change() = default;
+
+    /// Verb phrase for logs, such as "withdraw zone".
+    virtual std::string_view name() const = 0;
+    /// What the verb applies to, such as the zone.
+    virtual const std::string& subject() const = 0;
+    /// Name of the document that it edits.
+    virtual std::string document_name() const = 0;
+    /// Checks what can be checked without the current document.
+    virtual absl::Status validate() const = 0;
+    /// Body of the document after the change; empty for a tombstone. Fails with
+    /// `version_conflict` if the change was made for another version.
+    virtual absl::StatusOr<std::string>
+    apply(const config_document& current) const = 0;
+};
+
+/// Creates or replaces a service document.
+class put_service final : public config_change
+{
+public:
+    /// With an expected version (0 = no such service yet) the change applies
+    /// to that version only; without one it replaces whatever is there.
+    put_service(std::string service_name, std::string body,
+                std::optional<std::int64_t> expected_version = std::nullopt);
+
+    std::string_view name() const override { return "put service"; }
+    const std::string& subject() const override { return service_name_; }
+    std::string document_name() const override;
+    absl::Status validate() const override;
+    absl::StatusOr<std::string>
+    apply(const config_document& current) const override;
+
+private:
+    std::string service_name_;
+    std::string body_;
+    std::optional<std::int64_t> expected_version_;
+};
+
+/// Replaces a service document by a tombstone.
+class remove_service final : public config_change
+{
+public:
+    explicit remove_service(
+        std::string service_name,
+        std::optional<std::int64_t> expected_version = std::nullopt);
+
+    std::string_view name() const override { return "remove service"; }
+    const std::string& subject() const override { return service_name_; }
+    std::string document_name() const override;
+    absl::Status validate() const override;
+    absl::StatusOr<std::string>
+    apply(const config_document& current) const override;
+
+private:
+    std::string service_name_;
+    std::optional<std::int64_t> expected_version_;
+};
+
+/// A change of the fleet document that adds or removes one name.
+class fleet_change : public config_change
+{
+public:
+    const std::string& subject() const override { return subject_; }
+    std::string document_name() const override;
+    absl::Status validate() const override;
+    absl::StatusOr<std::string>
+    apply(const config_document& current) const override;
+
+protected:
+    explicit fleet_change(std::string subject);
+
+    virtual void edit(struct fleet& fleet) const = 0;
+
+private:
+    std::string subject_;
+};
+
+class withdraw_zone final : public fleet_change
+{
+public:
+    explicit withdraw_zone(std::string zone);
+    std::string_view name() const override { return "withdraw zone"; }
+
+private:
+    void edit(struct fleet& fleet) const override;
+};
+
+class return_zone final : public fleet_change
+{
+public:
+    explicit return_zone(std::string zone);
+    std::string_view name() const override { return "return zone"; }
+
+private:
+    void edit(struct fleet& fleet) const override;
+};
+
+class withdraw_machine final : public fleet_change
+{
+public:
+    explicit withdraw_machine(std::string machine);
+    std::string_view name() const override { return "withdraw machine"; }
+
+private:
+    void edit(struct fleet& fleet) const override;
+};
+
+class return_machine final : public fleet_change
+{
+public:
+    explicit return_machine(std::string machine);
+    std::string_view name() const override { return "return machine"; }
+
+private:
+    void edit(struct fleet& fleet) const override;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/config_writer.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/config_document.hpp"
+#include "galenapulley/table_service.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+class config_change;
+
+struct config_writer_options
+{
+    /// Total time for one change.
+    msec timeout = 10'000;
+    /// Time for one call to the table service.
+    msec call_timeout = 2000;
+    msec first_backoff = 50;
+    msec max_backoff = 1000;
+    std::uint64_t seed = 1;
+};
+
+/// Commits changes of documents to the table service. A change commits at most
+/// once under its change id, also when answers are lost.
+class config_writer
+{
+public:
+    /// Receives the committed document, or one of `invalid_document`,
+    /// `version_conflict`, `unknown_service`, `store_unavailable` (nothing was
+    /// committed) and `outcome_unknown` (repeat with the same change id).
+    using done_callback = std::function<void(absl::StatusOr<config_document>)>;
+
+    config_writer(table_service& table, const clock& time,
+                  config_writer_options options = {});
+    ~config_writer();
+    config_writer(const config_writer&) = delete;
+    config_writer& operator=(const config_writer&) = delete;
+
+    /// Executes the change. The callback may run inside this call if the
+    /// change is not valid.
+    void execute(std::shared_ptr<const config_change> change,
+                 std::string change_id, done_callback done);
+
+    /// Runs retries that are due and ends changes whose time is up. Call it
+    /// every 50 ms or so.
+    void tick();
+
+    std::size_t pending() const { return attempts_.size(); }
+
+private:
+    struct attempt;
+    using attempt_ptr = std::shared_ptr<attempt>;
+
+    void start(const attempt_ptr& it);
+    void on_head(const attempt_ptr& it, const absl::StatusOr<table_row>& row);
+    void on_document(const attempt_ptr& it,
+                     const absl::StatusOr<table_row>& row);
+    void commit(const attempt_ptr& it, const stored_document& former,
+                std::string body);
+    void on_commit(const attempt_ptr& it, const std::string& body,
+                   const commit_result& result);
+    void retry_later(const attempt_ptr& it);
+    void finish(const attempt_ptr& it, absl::StatusOr<config_document> result);
+
+    table_service& table_;
+    const clock& clock_;
+    config_writer_options options_;
+    std::uint64_t random_;
+    std::vector<attempt_ptr> attempts_;
+};
+
+} // namespace galenapulley
