--- a/src/galenapulley/config_change.hpp
+++ b/src/galenapulley/config_change.hpp
@@ -13,6 +13,8 @@
 namespace galenapulley
 {
 
+struct fleet;
+
 /// A change of one configuration document, as an operator or a team orders it.
 class config_change
 {
@@ -88,7 +90,7 @@
 protected:
     explicit fleet_change(std::string subject);
 
-    virtual void edit(struct fleet& fleet) const = 0;
+    virtual void edit(fleet& target) const = 0;
 
 private:
     std::string subject_;
@@ -101,7 +103,7 @@
     std::string_view name() const override { return "withdraw zone"; }
 
 private:
-    void edit(struct fleet& fleet) const override;
+    void edit(fleet& target) const override;
 };
 
 class return_zone final : public fleet_change
@@ -111,7 +113,7 @@
     std::string_view name() const override { return "return zone"; }
 
 private:
-    void edit(struct fleet& fleet) const override;
+    void edit(fleet& target) const override;
 };
 
 class withdraw_machine final : public fleet_change
@@ -121,7 +123,7 @@
     std::string_view name() const override { return "withdraw machine"; }
 
 private:
-    void edit(struct fleet& fleet) const override;
+    void edit(fleet& target) const override;
 };
 
 class return_machine final : public fleet_change
@@ -131,7 +133,7 @@
     std::string_view name() const override { return "return machine"; }
 
 private:
-    void edit(struct fleet& fleet) const override;
+    void edit(fleet& target) const override;
 };
 
 } // namespace galenapulley
--- a/src/galenapulley/config_sync.hpp
+++ b/src/galenapulley/config_sync.hpp
@@ -6,9 +6,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -31,11 +31,16 @@
     /// Each period is shortened or lengthened by up to this much.
     msec jitter = 500;
     msec call_timeout = 2000;
+    /// Reads after which the rows are loaded even if the head is unchanged; it
+    /// repairs a load that was answered with outdated rows.
+    std::size_t reads_per_load = 20;
     /// Settled peers whose snapshots make a baseline while the store is away.
     std::size_t baseline_peers = 3;
     /// Time for the gossip to make the peers known before "all known peers"
     /// may be taken as the whole fleet.
     msec peer_baseline_delay = 3000;
+    /// Snapshots older than this do not count for the baseline.
+    msec max_snapshot_age = 10'000;
     std::uint64_t seed = 1;
 };
 
@@ -62,7 +67,8 @@
     bool has_baseline() const { return baseline_; }
     /// Highest config_head known, from the store or from peers.
     std::int64_t head() const { return head_; }
-    /// Sending time of the newest successful read of config_head.
+    /// Sending time of the newest read of config_head after which every change
+    /// that it counts was loaded.
     std::optional<msec> last_read() const { return last_read_; }
     /// Whether the newest read that ended was successful.
     bool store_reachable() const { return store_reachable_; }
@@ -93,11 +99,13 @@
 private:
     void read_head();
     void on_head(msec sent_at, const absl::StatusOr<table_row>& row);
-    void load();
-    void on_services(const absl::StatusOr<std::vector<table_row>>& rows);
-    void on_fleet(const absl::StatusOr<table_row>& row);
+    void load(msec sent_at, std::int64_t head);
+    void on_services(msec sent_at, std::int64_t head,
+                     const absl::StatusOr<std::vector<table_row>>& rows);
+    void on_fleet(msec sent_at, std::int64_t head,
+                  const absl::StatusOr<table_row>& row);
     void fail_read();
-    void end_read();
+    void end_read(msec sent_at, std::int64_t head);
     void apply_row(const table_row& row);
     void apply(const config_document& document);
     void check_peer_baseline();
@@ -115,12 +123,12 @@
     bool store_failed_ = false;
     std::optional<msec> last_read_;
     std::int64_t head_ = 0;
-    /// Value of config_head as read before the rows being loaded, and before
-    /// the rows last loaded in full.
-    std::int64_t loading_head_ = 0;
+    /// config_head as read before the rows that were last loaded in full.
     std::int64_t loaded_head_ = -1;
+    std::size_t reads_since_load_ = 0;
     std::size_t known_peers_ = 0;
-    std::set<std::string> snapshot_peers_;
+    /// When each settled peer's snapshot came.
+    std::map<std::string, msec> snapshots_;
     refusal_callback on_refusal_;
     /// Expires with this object, so that late callbacks do nothing.
     std::shared_ptr<int> alive_;
--- /dev/null
+++ b/src/galenapulley/config_writer.cpp
@@ -0,0 +1,242 @@
+#include "galenapulley/config_writer.hpp"
+
+#include "galenapulley/config_change.hpp"
+#include "galenapulley/error_kind.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace galenapulley
+{
+
+/// One change on its way. Callbacks hold it weakly: once it is finished, or
+/// the writer is gone, late answers have no effect.
+struct config_writer::attempt
+{
+    std::shared_ptr<const config_change> change;
+    std::string change_id;
+    done_callback done;
+    msec deadline = 0;
+    msec backoff = 0;
+    /// When to read the rows again; none while a call is under way.
+    std::optional<msec> next_try;
+    std::int64_t head_version = 0;
+    /// Lower versions read are stale.
+    std::int64_t least_version = 0;
+    /// Version of the document that a commit without a known outcome was
+    /// conditioned on.
+    std::optional<std::int64_t> uncertain_version;
+    /// Whether a commit is under way.
+    bool committing = false;
+    std::string last_trouble = "the table service did not answer";
+};
+
+config_writer::config_writer(table_service& table, const clock& time,
+                             config_writer_options options)
+    : table_(table), clock_(time), options_(options), random_(options.seed)
+{
+}
+
+config_writer::~config_writer() = default;
+
+void config_writer::execute(std::shared_ptr<const config_change> change,
+                            std::string change_id, done_callback done)
+{
+    auto status = change->validate();
+    if (status.ok() && change_id.empty())
+        status = make_error(error_kind::bad_request, "the change id is empty");
+    if (!status.ok())
+    {
+        done(status);
+        return;
+    }
+    auto it = std::make_shared<attempt>();
+    it->change = std::move(change);
+    it->change_id = std::move(change_id);
+    it->done = std::move(done);
+    it->deadline = clock_.now() + options_.timeout;
+    it->backoff = options_.first_backoff;
+    attempts_.push_back(it);
+    start(it);
+}
+
+void config_writer::tick()
+{
+    const auto now = clock_.now();
+    const auto attempts = attempts_;
+    for (const auto& it : attempts)
+    {
+        if (now >= it->deadline)
+            expire(it);
+        else if (it->next_try && now >= *it->next_try)
+            start(it);
+    }
+}
+
+void config_writer::expire(const attempt_ptr& it)
+{
+    if (it->committing || it->uncertain_version)
+        finish(it, make_error(error_kind::outcome_unknown,
+                              "the outcome of change " + it->change_id +
+                                  " is not known; repeat it with the same "
+                                  "change id"));
+    else
+        finish(it, make_error(
+                       error_kind::store_unavailable,
+                       std::string(it->change->name()) + " " +
+                           it->change->subject() +
+                           " was not committed in time: " + it->last_trouble));
+}
+
+msec config_writer::call_timeout(const attempt& it) const
+{
+    return std::clamp<msec>(it.deadline - clock_.now(), 1,
+                            options_.call_timeout);
+}
+
+void config_writer::start(const attempt_ptr& it)
+{
+    it->next_try.reset();
+    // The head is read before the document: a document that changes between
+    // the two reads makes the commit fail on the head.
+    table_.read(
+        std::string(config_head_row), call_timeout(*it),
+        [this, weak = std::weak_ptr(it)](const absl::StatusOr<table_row>& row)
+        {
+            if (const auto held = weak.lock())
+                on_head(held, row);
+        });
+}
+
+void config_writer::on_head(const attempt_ptr& it,
+                            const absl::StatusOr<table_row>& row)
+{
+    if (!row.ok())
+    {
+        retry_later(it, "config_head could not be read");
+        return;
+    }
+    it->head_version = row->version;
+    table_.read(it->change->document_name(), call_timeout(*it),
+                [this, weak = std::weak_ptr(it)](
+                    const absl::StatusOr<table_row>& document)
+                {
+                    if (const auto held = weak.lock())
+                        on_document(held, document);
+                });
+}
+
+void config_writer::on_document(const attempt_ptr& it,
+                                const absl::StatusOr<table_row>& row)
+{
+    if (!row.ok() || row->version < it->least_version)
+    {
+        retry_later(it, row.ok() ? "an outdated document was read"
+                                 : "the document could not be read");
+        return;
+    }
+    const auto former = decode_row(*row);
+    if (!former.ok())
+    {
+        finish(it, former.status());
+        return;
+    }
+    const auto& current = former->document;
+    if (current.version != 0 && former->contains_change(it->change_id))
+    {
+        finish(it, current);
+        return;
+    }
+    it->least_version = current.version;
+    // A commit conditioned on an older version can no longer take effect, and
+    // it is not among those that did.
+    if (it->uncertain_version && current.version > *it->uncertain_version)
+        it->uncertain_version.reset();
+    auto body = it->change->apply(current);
+    // An unchanged body is committed too: only the commit proves that the row
+    // read was not outdated.
+    if (!body.ok())
+        finish(it, body.status());
+    else
+        commit(it, *former, *std::move(body));
+}
+
+void config_writer::commit(const attempt_ptr& it, const stored_document& former,
+                           std::string body)
+{
+    const auto& name = former.document.name;
+    const std::string head(config_head_row);
+    const table_transaction transaction{
+        .conditions = {{name, former.document.version},
+                       {head, it->head_version}},
+        .writes = {{name, encode_row(former, it->change_id, body)},
+                   {head, it->change_id}}};
+    it->committing = true;
+    table_.commit(transaction, call_timeout(*it),
+                  [this, weak = std::weak_ptr(it),
+                   body = std::move(body)](const commit_result& result)
+                  {
+                      if (const auto held = weak.lock())
+                          on_commit(held, body, result);
+                  });
+}
+
+void config_writer::on_commit(const attempt_ptr& it, const std::string& body,
+                              const commit_result& result)
+{
+    it->committing = false;
+    const auto name = it->change->document_name();
+    switch (result.state)
+    {
+    case commit_state::committed:
+        if (const auto found = result.versions.find(name);
+            found != result.versions.end())
+        {
+            finish(it, config_document{.name = name,
+                                       .version = found->second,
+                                       .change_id = it->change_id,
+                                       .body = body});
+            return;
+        }
+        // Without the new version the row has to be read back.
+        it->uncertain_version = it->least_version;
+        break;
+    case commit_state::conflict:
+        if (result.conflict == name)
+            ++it->least_version;
+        retry_later(it, "other changes came first");
+        return;
+    case commit_state::refused:
+        retry_later(it, "the table service refused the commit");
+        return;
+    case commit_state::unknown:
+        it->uncertain_version = it->least_version;
+        break;
+    }
+    retry_later(it, "the commit's answer was lost");
+}
+
+void config_writer::retry_later(const attempt_ptr& it, std::string_view trouble)
+{
+    it->last_trouble = trouble;
+    // Half of the wait is random, so that racing writers drift apart.
+    random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto spread = static_cast<msec>(
+        (random_ >> 33U) % (static_cast<std::uint64_t>(it->backoff) / 2 + 1));
+    it->next_try = clock_.now() + it->backoff - spread;
+    it->backoff = std::min(it->backoff * 2, options_.max_backoff);
+}
+
+void config_writer::finish(const attempt_ptr& it,
+                           absl::StatusOr<config_document> result)
+{
+    // The caller's reference may be the one inside the list.
+    const auto held = it;
+    const auto found = std::find(attempts_.begin(), attempts_.end(), held);
+    if (found == attempts_.end())
+        return;
+    attempts_.erase(found);
+    held->done(std::move(result));
+}
+
+} // namespace galenapulley
--- a/src/galenapulley/config_writer.hpp
+++ b/src/galenapulley/config_writer.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace galenapulley
@@ -67,7 +68,9 @@
                 std::string body);
     void on_commit(const attempt_ptr& it, const std::string& body,
                    const commit_result& result);
-    void retry_later(const attempt_ptr& it);
+    void retry_later(const attempt_ptr& it, std::string_view trouble);
+    void expire(const attempt_ptr& it);
+    msec call_timeout(const attempt& it) const;
     void finish(const attempt_ptr& it, absl::StatusOr<config_document> result);
 
     table_service& table_;
--- /dev/null
+++ b/src/galenapulley/json_reader.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// What a text field may hold.
+struct text_rule
+{
+    bool (*matches)(std::string_view text);
+    std::string_view allowed;
+};
+
+/// Letters, digits, '.', '_' and '-': names become parts of row keys and
+/// shard ids, where '/' separates.
+extern const text_rule name_rule;
+extern const text_rule address_rule;
+extern const text_rule sha256_rule;
+extern const text_rule path_rule;
+
+/// Faults of one document, in the order in which they were found.
+class fault_list
+{
+public:
+    void add(std::string_view path, const nlohmann::json& value,
+             std::string_view allowed);
+    void add_missing(std::string_view path, std::string_view allowed);
+
+    bool empty() const { return count_ == 0; }
+    /// Status `invalid_document` with up to 10 faults; OK if there are none.
+    absl::Status status(std::string_view document_kind) const;
+
+private:
+    void add_line(std::string line);
+
+    std::vector<std::string> lines_;
+    std::size_t count_ = 0;
+};
+
+/// Parses JSON text; rejects duplicate keys and deep nesting, which the parser
+/// alone accepts. Errors give line and column.
+absl::StatusOr<nlohmann::json> parse_json(std::string_view text,
+                                          std::string_view document_kind);
+
+/// Reads the fields of one JSON object and reports every fault to a list.
+/// Each reading function returns a harmless value after a fault.
+class object_reader
+{
+public:
+    object_reader(const nlohmann::json& value, std::string path,
+                  fault_list& faults);
+
+    std::string text(const char* key, const text_rule& rule,
+                     const std::optional<std::string>& fallback = {});
+    std::string choice(const char* key,
+                       std::span<const std::string_view> allowed,
+                       const std::optional<std::string>& fallback = {});
+    std::uint32_t number(const char* key, std::uint32_t low, std::uint32_t high,
+                         std::optional<std::uint32_t> fallback = {});
+    bool flag(const char* key, std::optional<bool> fallback = {});
+    std::vector<std::string> names(const char* key, const text_rule& rule,
+                                   bool required);
+
+    /// Reads a list of objects with `read(object_reader&)`, which returns the
+    /// element.
+    template <typename Item, typename Read>
+    std::vector<Item> objects(const char* key, bool required, Read read)
+    {
+        std::vector<Item> items;
+        const auto* list = array(key, required);
+        for (std::size_t n = 0; list != nullptr && n < list->size(); ++n)
+        {
+            object_reader reader((*list)[n], element_path(key, n), faults_);
+            items.push_back(read(reader));
+            reader.finish();
+        }
+        return items;
+    }
+
+    bool has(const char* key) const;
+    std::string path_of(std::string_view key) const;
+    std::string element_path(std::string_view key, std::size_t n) const;
+    fault_list& faults() { return faults_; }
+    /// Reports fields that nothing has asked for.
+    void finish();
+
+private:
+    const nlohmann::json* field(const char* key);
+    const nlohmann::json* array(const char* key, bool required);
+
+    const nlohmann::json& value_;
+    std::string path_;
+    fault_list& faults_;
+    std::set<std::string> known_;
+};
+
+} // namespace galenapulley
--- a/src/galenapulley/membership.hpp
+++ b/src/galenapulley/membership.hpp
@@ -58,6 +58,9 @@
     /// Latest instant at which the node is proven to have been running and
     /// connected, by a message of its own that quotes this node's heartbeat.
     std::optional<msec> heard_at;
+    /// Messages that still carry the entry first, after it joined, restarted
+    /// or announced that it leaves.
+    std::size_t news_left = 0;
 };
 
 struct shard_owner
@@ -153,28 +156,28 @@
     struct owner_record
     {
         shard_owner owner;
-        /// Messages that carried the record since it changed.
-        std::size_t sent = 0;
-        std::uint64_t sequence = 0;
+        std::size_t news_left = 0;
     };
 
     /// Instants of this node's latest heartbeats; 64 s cover every window in
     /// use.
     static constexpr std::size_t heartbeat_history = 64;
 
-    bool merge(const wire::member_entry& entry, msec now);
-    bool is_obsolete(const wire::member_entry& entry) const;
-    void merge_own(const wire::member_entry& entry);
+    void merge(const wire::member_entry& entry, msec now);
+    /// Returns whether the entry is out of date and needs to be refuted.
+    bool check_own(const wire::member_entry& entry);
     void note_heard(const std::string& from, const wire::gossip& message);
     void drop_silent(msec now);
-    std::vector<std::string> choose_targets(msec now);
-    std::optional<std::string> choose_lost_address();
-    std::shared_ptr<wire::gossip> make_message(const std::string& to,
+    void forget_lost(msec now);
+    std::vector<std::string> choose_targets();
+    std::vector<std::string> outside_addresses() const;
+    std::shared_ptr<wire::gossip> make_message(const member* to,
                                                std::size_t entries, msec now);
     void add_own_entry(wire::gossip& message) const;
-    void add_members(wire::gossip& message, const std::string& to,
+    void add_members(wire::gossip& message, const member* to,
                      std::size_t entries, msec now);
     void add_shard_owners(wire::gossip& message);
+    std::size_t news_budget() const;
     std::uint64_t random();
 
     membership_options options_;
@@ -183,16 +186,16 @@
     std::map<std::string, member> members_;
     std::map<std::string, lost_member> lost_;
     std::map<std::string, owner_record> owners_;
-    std::uint64_t sequence_ = 0;
     std::array<heartbeat_time, heartbeat_history> heartbeats_{};
     std::int64_t heartbeat_ = 0;
     std::optional<msec> next_tick_;
     std::size_t ticks_ = 0;
-    std::size_t lost_cursor_ = 0;
+    std::size_t outside_cursor_ = 0;
     std::string member_cursor_;
     std::string owner_cursor_;
     std::size_t list_cursor_ = 0;
     bool leaving_ = false;
+    bool leaving_announced_ = false;
     std::optional<std::int64_t> superseded_by_;
 };
 
--- a/src/galenapulley/view_freshness.hpp
+++ b/src/galenapulley/view_freshness.hpp
@@ -25,7 +25,7 @@
     /// Other nodes known, and zones including the own one.
     std::size_t known_peers = 0;
     std::size_t known_zones = 1;
-    /// The same, heard directly within `max_age`.
+    /// The same, heard directly within `heard_window`.
     std::size_t heard_peers = 0;
     std::size_t heard_zones = 1;
 };
@@ -52,12 +52,16 @@
     bool fresh_for(msec duration, msec now) const;
     /// Age of the newest read known; -1 if none. For `store_read_age_ms`.
     msec store_read_age(msec now) const;
+    /// Window for membership::heard_peers and heard_zones: `max_age`, or less
+    /// after a late tick.
+    msec heard_window(msec now) const;
     /// Number of late ticks so far.
     std::size_t resets() const { return resets_; }
 
 private:
     void note_read(msec at, msec proven_at);
     bool hears_enough() const;
+    bool is_late(msec now) const;
     bool read_is_recent(msec now) const;
 
     view_options options_;
