--- /dev/null
+++ b/tests/fakes/fake_table_service.hpp
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "galenapulley/table_service.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// What goes wrong with one call.
+enum class table_fault
+{
+    none,
+    /// Fails without effect and without an answer.
+    outage,
+    /// A commit takes effect, but its answer is lost.
+    lost_answer,
+    /// A commit's answer is lost; it takes effect later, if it still can.
+    late_effect,
+    /// A commit is refused by the rate limit.
+    refused,
+    /// A read or scan is answered with the versions before the newest.
+    stale
+};
+
+/// Table service in memory. Calls wait until the test runs them, in any order;
+/// a call takes effect when it is run.
+class fake_table_service final : public table_service
+{
+public:
+    void read(const std::string& key, msec, read_callback done) override
+    {
+        calls_.push_back({.name = "read " + key,
+                          .run = [=, this](table_fault fault)
+                          {
+                              if (fault == table_fault::none ||
+                                  fault == table_fault::stale)
+                                  done(row(key, fault));
+                              else
+                                  done(absl::UnavailableError("outage"));
+                          }});
+    }
+
+    void scan(const std::string& prefix, msec, scan_callback done) override
+    {
+        calls_.push_back({.name = "scan " + prefix,
+                          .run = [=, this](table_fault fault)
+                          {
+                              if (fault == table_fault::none ||
+                                  fault == table_fault::stale)
+                                  done(rows(prefix, fault));
+                              else
+                                  done(absl::UnavailableError("outage"));
+                          }});
+    }
+
+    void commit(const table_transaction& transaction, msec,
+                commit_callback done) override
+    {
+        calls_.push_back({.name = "commit",
+                          .run = [=, this](table_fault fault)
+                          {
+                              run_commit(transaction, fault, done);
+                          }});
+    }
+
+    /// Faults of the next calls in the order in which they are run; without
+    /// any, the standing fault applies.
+    void script(std::deque<table_fault> faults) { script_ = std::move(faults); }
+    void set_fault(table_fault fault) { fault_ = fault; }
+
+    std::size_t waiting() const { return calls_.size(); }
+    std::size_t calls_run() const { return calls_run_; }
+    const std::string& call_name(std::size_t n) const { return calls_[n].name; }
+
+    void run(std::size_t n = 0)
+    {
+        const auto it = calls_.begin() + static_cast<std::ptrdiff_t>(n);
+        const auto taken = std::move(*it);
+        calls_.erase(it);
+        auto fault = fault_;
+        if (!script_.empty())
+        {
+            fault = script_.front();
+            script_.pop_front();
+        }
+        ++calls_run_;
+        taken.run(fault);
+    }
+
+    void run_all()
+    {
+        while (!calls_.empty())
+            run();
+    }
+
+    /// Effects of commits whose answers were lost before.
+    void run_late_effects()
+    {
+        for (const auto& it : std::exchange(late_, {}))
+            apply(it);
+    }
+
+    /// Writes a row outside any transaction and returns its version.
+    std::int64_t put(const std::string& key, const std::string& value)
+    {
+        auto& versions = history_[key];
+        versions.push_back(value);
+        return static_cast<std::int64_t>(versions.size());
+    }
+
+    /// All values that the row ever had; version n is element n - 1.
+    const std::vector<std::string>& history(const std::string& key)
+    {
+        return history_[key];
+    }
+
+private:
+    struct waiting_call
+    {
+        std::string name;
+        std::function<void(table_fault)> run;
+    };
+
+    table_row row(const std::string& key, table_fault fault)
+    {
+        const auto& versions = history_[key];
+        auto n = versions.size();
+        if (fault == table_fault::stale && n > 1)
+            --n;
+        return {.key = key,
+                .version = static_cast<std::int64_t>(n),
+                .value = n == 0 ? "" : versions[n - 1]};
+    }
+
+    std::vector<table_row> rows(const std::string& prefix, table_fault fault)
+    {
+        std::vector<table_row> found;
+        for (const auto& [key, versions] : history_)
+            if (key.rfind(prefix, 0) == 0 && !versions.empty())
+                found.push_back(row(key, fault));
+        return found;
+    }
+
+    commit_result apply(const table_transaction& transaction)
+    {
+        commit_result result;
+        for (const auto& it : transaction.conditions)
+        {
+            if (row(it.key, table_fault::none).version == it.version)
+                continue;
+            result.state = commit_state::conflict;
+            result.conflict = it.key;
+            return result;
+        }
+        for (const auto& it : transaction.writes)
+            result.versions[it.key] = put(it.key, it.value.value_or(""));
+        result.state = commit_state::committed;
+        return result;
+    }
+
+    void run_commit(const table_transaction& transaction, table_fault fault,
+                    const commit_callback& done)
+    {
+        commit_result result;
+        switch (fault)
+        {
+        case table_fault::outage:
+            break;
+        case table_fault::refused:
+            result.state = commit_state::refused;
+            break;
+        case table_fault::late_effect:
+            late_.push_back(transaction);
+            break;
+        case table_fault::lost_answer:
+            apply(transaction);
+            break;
+        case table_fault::none:
+        case table_fault::stale:
+            result = apply(transaction);
+            break;
+        }
+        done(result);
+    }
+
+    std::map<std::string, std::vector<std::string>> history_;
+    std::deque<waiting_call> calls_;
+    std::vector<table_transaction> late_;
+    std::deque<table_fault> script_;
+    table_fault fault_ = table_fault::none;
+    std::size_t calls_run_ = 0;
+};
+
+} // namespace galenapulley
