--- /dev/null
+++ b/src/galenapulley/action_ledger.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "galenapulley/action_record.hpp"
+#include "galenapulley/clock.hpp"
+#include "galenapulley/table_service.hpp"
+#include "galenapulley/write_batcher.hpp"
+
+#include <absl/status/status.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace galenapulley
+{
+
+/// A call that wants to run a non-idempotent action.
+struct action_request
+{
+    action_key key;
+    std::uint64_t body_hash = 0;
+    /// Unique over all nodes and calls.
+    std::string attempt_id;
+    /// Time for the record to be written.
+    msec timeout = 1000;
+};
+
+enum class begin_state
+{
+    /// The row is written: send the action once, then call finish or
+    /// mark_not_run.
+    started,
+    /// A recorded answer exists.
+    replay,
+    /// `error` is in_progress, outcome_unknown, key_reused or
+    /// store_unavailable. The action must not be sent.
+    refused
+};
+
+struct begin_result
+{
+    begin_state state = begin_state::refused;
+    recorded_answer answer;
+    absl::Status error;
+};
+
+/// At-most-once record of non-idempotent actions.
+class action_ledger
+{
+public:
+    using begin_callback = std::function<void(begin_result)>;
+    /// OK once the row says not_run; store_unavailable if that is not known in
+    /// time (the ledger goes on trying).
+    using not_run_callback = std::function<void(absl::Status)>;
+    /// Whether that process of the node may still be running.
+    using node_alive =
+        std::function<bool(const std::string& node, std::int64_t incarnation)>;
+
+    struct settings
+    {
+        std::string node;
+        std::int64_t incarnation = 0;
+        write_batcher::limits batches;
+        /// Bounds of background writes. One that does not fit is dropped: its
+        /// row stays `started`, which never leads to a second run.
+        std::size_t max_background = 1024;
+        std::size_t max_background_bytes = 4U * 1024 * 1024;
+        msec first_retry = 250;
+        msec max_retry = 8000;
+    };
+
+    action_ledger(const clock& time, table_service& table, settings own,
+                  node_alive alive);
+
+    /// `done` runs exactly once, at the latest at the first tick after the
+    /// timeout.
+    void begin(action_request request, begin_callback done);
+
+    /// Records the answer of a started attempt. Failed writes are repeated.
+    void finish(const action_key& key, const std::string& attempt_id,
+                recorded_answer answer);
+
+    /// Records that a started attempt was not sent, so that the key may be
+    /// started again under a new attempt id.
+    void mark_not_run(const action_key& key, const std::string& attempt_id,
+                      msec timeout, not_run_callback done = {});
+
+    /// Sends due batches, ends calls whose time is over, repeats writes.
+    void tick();
+    /// When tick has something to do next.
+    std::optional<msec> next_due() const;
+
+    std::size_t background_writes() const { return resolutions_.size(); }
+    /// Background writes that were dropped because of the bounds.
+    std::uint64_t dropped_writes() const { return dropped_; }
+
+private:
+    /// A begin that has not been answered, or a started attempt.
+    struct attempt
+    {
+        action_request request;
+        std::string row;
+        begin_callback done;
+        msec deadline = 0;
+        /// Version that the insert is conditioned on.
+        std::int64_t version = 0;
+        /// A write was sent whose effect is not known.
+        bool unresolved = false;
+        bool busy = false;
+        msec next_try = 0;
+    };
+    using attempt_ptr = std::shared_ptr<attempt>;
+
+    /// A row that has to reach the state `record`, written by this node.
+    struct resolution
+    {
+        std::string row;
+        action_record record;
+        /// Version to condition on; empty if the row must be read first.
+        std::optional<std::int64_t> version;
+        not_run_callback done;
+        msec deadline = 0;
+        bool busy = false;
+        msec next_try = 0;
+        msec delay = 0;
+        std::size_t bytes = 0;
+    };
+    using resolution_ptr = std::shared_ptr<resolution>;
+
+    struct started_row
+    {
+        std::int64_t version = 0;
+        std::uint64_t body_hash = 0;
+        std::string attempt_id;
+        std::string row;
+    };
+
+    void insert(const attempt_ptr& call);
+    void on_insert(const attempt_ptr& call, commit_state state,
+                   std::int64_t version);
+    void read_back(const attempt_ptr& call);
+    void on_read(const attempt_ptr& call, const absl::StatusOr<table_row>& row);
+    void judge(const attempt_ptr& call, const table_row& row,
+               const action_record& record);
+    void start(const attempt_ptr& call, std::int64_t version);
+    void refuse(const attempt_ptr& call, absl::Status error);
+    void answer(const attempt_ptr& call, begin_result result);
+    void expire_calls(msec now);
+
+    std::optional<started_row> take_started(const action_key& key,
+                                            const std::string& attempt_id);
+    void resolve(const resolution_ptr& item);
+    bool has_room(const resolution& item) const;
+    void advance(const resolution_ptr& item);
+    void write(const resolution_ptr& item);
+    void on_write(const resolution_ptr& item, commit_state state);
+    void reread(const resolution_ptr& item);
+    void on_reread(const resolution_ptr& item,
+                   const absl::StatusOr<table_row>& row);
+    void retry_later(const resolution_ptr& item);
+    void settle(const resolution_ptr& item, absl::Status status);
+    action_record own_record(const attempt& call, action_state state) const;
+
+    const clock& time_;
+    table_service& table_;
+    settings own_;
+    node_alive node_alive_;
+    write_batcher batcher_;
+    std::list<attempt_ptr> calls_;
+    std::list<started_row> started_;
+    std::list<resolution_ptr> resolutions_;
+    std::size_t background_bytes_ = 0;
+    std::uint64_t dropped_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/write_batcher.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/table_service.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// Collects conditional writes of single rows into shared transactions.
+class write_batcher
+{
+public:
+    /// State of the one write, and the row's new version if committed.
+    using callback = std::function<void(commit_state, std::int64_t version)>;
+
+    struct limits
+    {
+        std::size_t max_writes = 16;
+        msec window = 5;
+        msec store_timeout = 1000;
+    };
+
+    write_batcher(const clock& time, table_service& table, limits bounds);
+
+    void add(std::string key, std::int64_t version, std::string value,
+             callback done);
+    /// Sends what is due.
+    void tick();
+    std::optional<msec> next_due() const;
+
+private:
+    struct entry
+    {
+        std::string key;
+        std::int64_t version = 0;
+        std::string value;
+        callback done;
+        msec added = 0;
+        /// Sent alone, after a conflict that could not be attributed.
+        bool alone = false;
+    };
+    using batch = std::vector<entry>;
+
+    batch take_batch();
+    void send(batch entries);
+    void on_commit(batch& entries, const commit_result& result);
+
+    const clock& time_;
+    table_service& table_;
+    limits limits_;
+    std::deque<entry> queue_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace galenapulley
