--- a/src/galenapulley/action_ledger.hpp
+++ b/src/galenapulley/action_ledger.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/action_record.hpp"
 #include "galenapulley/clock.hpp"
+#include "galenapulley/error_kind.hpp"
 #include "galenapulley/table_service.hpp"
 #include "galenapulley/write_batcher.hpp"
 
@@ -11,9 +12,11 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace galenapulley
 {
@@ -89,6 +92,10 @@
     void mark_not_run(const action_key& key, const std::string& attempt_id,
                       msec timeout, not_run_callback done = {});
 
+    /// The outcome of a started attempt will not be known: the row stays
+    /// `started`, and nothing more is kept for it.
+    void abandon(const action_key& key, const std::string& attempt_id);
+
     /// Sends due batches, ends calls whose time is over, repeats writes.
     void tick();
     /// When tick has something to do next.
@@ -110,6 +117,9 @@
         std::int64_t version = 0;
         /// A write was sent whose effect is not known.
         bool unresolved = false;
+        /// The row has to be read before the next write.
+        bool must_read = false;
+        /// An operation is in flight.
         bool busy = false;
         msec next_try = 0;
     };
@@ -136,34 +146,39 @@
         std::int64_t version = 0;
         std::uint64_t body_hash = 0;
         std::string attempt_id;
-        std::string row;
     };
 
     void insert(const attempt_ptr& call);
     void on_insert(const attempt_ptr& call, commit_state state,
                    std::int64_t version);
+    void after_expiry(const attempt_ptr& call, commit_state state,
+                      std::int64_t version);
     void read_back(const attempt_ptr& call);
     void on_read(const attempt_ptr& call, const absl::StatusOr<table_row>& row);
     void judge(const attempt_ptr& call, const table_row& row,
                const action_record& record);
+    void judge_other(const attempt_ptr& call, const table_row& row,
+                     const action_record& record);
     void start(const attempt_ptr& call, std::int64_t version);
-    void refuse(const attempt_ptr& call, absl::Status error);
+    void refuse(const attempt_ptr& call, error_kind kind,
+                std::string_view message);
     void answer(const attempt_ptr& call, begin_result result);
-    void expire_calls(msec now);
+    void advance_calls(msec now);
+    void withdraw(const attempt_ptr& call, std::optional<std::int64_t> version);
 
-    std::optional<started_row> take_started(const action_key& key,
+    std::optional<started_row> take_started(const std::string& row,
                                             const std::string& attempt_id);
-    void resolve(const resolution_ptr& item);
-    bool has_room(const resolution& item) const;
-    void advance(const resolution_ptr& item);
+    void resolve(resolution item);
     void write(const resolution_ptr& item);
     void on_write(const resolution_ptr& item, commit_state state);
     void reread(const resolution_ptr& item);
     void on_reread(const resolution_ptr& item,
                    const absl::StatusOr<table_row>& row);
     void retry_later(const resolution_ptr& item);
-    void settle(const resolution_ptr& item, absl::Status status);
-    action_record own_record(const attempt& call, action_state state) const;
+    void settle(const resolution_ptr& item, const absl::Status& status);
+    void advance_resolutions(msec now);
+    action_record own_record(const std::string& attempt_id,
+                             std::uint64_t body_hash, action_state state) const;
 
     const clock& time_;
     table_service& table_;
@@ -171,7 +186,8 @@
     node_alive node_alive_;
     write_batcher batcher_;
     std::list<attempt_ptr> calls_;
-    std::list<started_row> started_;
+    /// Started attempts by row key.
+    std::map<std::string, started_row> started_;
     std::list<resolution_ptr> resolutions_;
     std::size_t background_bytes_ = 0;
     std::uint64_t dropped_ = 0;
--- a/src/galenapulley/node_lease.hpp
+++ b/src/galenapulley/node_lease.hpp
@@ -101,13 +101,14 @@
 
     void send_renewal();
     void read_row();
-    void on_commit(msec sent, const commit_result& result);
+    void on_commit(const commit_result& result);
     void on_row(const absl::StatusOr<table_row>& row);
-    void adopt(const table_row& row, const lease_record& record);
-    void extend(msec sent);
+    void adopt(const lease_record& record);
+    void extend();
     void on_foreign_claim(std::int64_t claims);
     void end();
     void send_release();
+    void on_released(const commit_result& result);
     void finish_release();
 
     const clock& time_;
@@ -123,7 +124,11 @@
     msec sent_ = 0;
     msec held_until_ = 0;
     msec next_action_ = 0;
-    bool was_held_ = false;
+    /// The answer to renewal number record_.renewal is not known.
+    bool outcome_unknown_ = false;
+    /// The row has been seen with this incarnation.
+    bool created_ = false;
+    bool leaving_sent_ = false;
     bool release_wanted_ = false;
     std::function<void()> released_;
     /// Callbacks check it, so that none touches a destroyed object.
--- /dev/null
+++ b/src/galenapulley/reservation_sweeper.cpp
@@ -0,0 +1,246 @@
+#include "galenapulley/reservation_sweeper.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr msec deadline_grace = 5000;
+// Younger reservations are rarely orphans; asking about them costs messages.
+constexpr msec min_question_age = 2000;
+constexpr msec question_interval = 10'000;
+constexpr msec silent_ttls = 3;
+constexpr std::size_t max_ids_per_question = 100;
+
+template <typename Number>
+bool parse_number(std::string_view text, Number& out)
+{
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, out);
+    return !text.empty() && result.ec == std::errc{} && result.ptr == end;
+}
+
+} // namespace
+
+std::optional<reservation_holder> holder_of(const std::string& id)
+{
+    // The node's name may contain dots, the numbers do not.
+    const auto request_dot = id.rfind('.');
+    if (request_dot == std::string::npos || request_dot == 0)
+        return std::nullopt;
+    const auto incarnation_dot = id.rfind('.', request_dot - 1);
+    if (incarnation_dot == std::string::npos || incarnation_dot == 0)
+        return std::nullopt;
+    const std::string_view text = id;
+    reservation_holder holder{.node = id.substr(0, incarnation_dot),
+                              .incarnation = 0};
+    std::uint64_t request = 0;
+    if (!parse_number(
+            text.substr(incarnation_dot + 1, request_dot - incarnation_dot - 1),
+            holder.incarnation) ||
+        !parse_number(text.substr(request_dot + 1), request))
+        return std::nullopt;
+    return holder;
+}
+
+sweep_actions reservation_sweeper::sweep(const std::string& engine,
+                                         const std::vector<reservation>& list,
+                                         msec now)
+{
+    note_pause(now);
+    auto& seen = engines_[engine];
+    merge(seen, list, now);
+    sweep_actions actions;
+    for (const auto& [id, it] : seen)
+        if (is_orphan(id, it, now))
+            actions.releases.push_back({.engine = engine, .id = id});
+    collect_questions(seen, actions, now);
+    forget_idle_nodes();
+    collect_lease_reads(actions, now);
+    return actions;
+}
+
+// After a pause of this process, nothing heard means nothing.
+void reservation_sweeper::note_pause(msec now)
+{
+    if (called_ && now - last_call_ > ttl_)
+        for (auto& [node, facts] : nodes_)
+        {
+            facts.heard = now;
+            facts.lease_known = false;
+        }
+    called_ = true;
+    last_call_ = now;
+}
+
+void reservation_sweeper::merge(engine_sightings& seen,
+                                const std::vector<reservation>& list, msec now)
+{
+    engine_sightings merged;
+    for (const auto& it : list)
+    {
+        sighting fresh{.last_age = it.age,
+                       .deadline = now + it.deadline_left,
+                       .first_query = 0,
+                       .last_asked = 0};
+        const auto old = seen.find(it.id);
+        // A lower age means that the id was released and reserved again.
+        if (old != seen.end() && old->second.last_age <= it.age)
+        {
+            fresh.first_query = old->second.first_query;
+            fresh.last_asked = old->second.last_asked;
+            // An engine may report 0 for every deadline that has passed.
+            if (it.deadline_left <= 0)
+                fresh.deadline = std::min(fresh.deadline, old->second.deadline);
+        }
+        merged[it.id] = fresh;
+        if (const auto holder = holder_of(it.id))
+            nodes_.try_emplace(holder->node, node_facts{.newest_incarnation = 0,
+                                                        .heard = now,
+                                                        .lease_known = false,
+                                                        .renewal = 0,
+                                                        .unchanged_since = 0,
+                                                        .last_read = 0});
+    }
+    seen = std::move(merged);
+}
+
+bool reservation_sweeper::is_orphan(const std::string& id, const sighting& seen,
+                                    msec now) const
+{
+    if (now > seen.deadline + deadline_grace)
+        return true;
+    const auto holder = holder_of(id);
+    if (!holder)
+        return false;
+    const auto facts = nodes_.find(holder->node);
+    return facts != nodes_.end() &&
+           (facts->second.newest_incarnation > holder->incarnation ||
+            is_silent(facts->second, now));
+}
+
+bool reservation_sweeper::is_silent(const node_facts& facts, msec now) const
+{
+    return now - facts.heard >= silent_ttls * ttl_ && facts.lease_known &&
+           now - facts.last_read <= ttl_ &&
+           facts.last_read - facts.unchanged_since >= silent_ttls * ttl_;
+}
+
+void reservation_sweeper::collect_questions(engine_sightings& seen,
+                                            sweep_actions& actions, msec now)
+{
+    std::map<std::string, std::size_t> open;
+    for (auto& [id, it] : seen)
+    {
+        const auto holder = holder_of(id);
+        const auto asked_lately =
+            it.first_query != 0 && now - it.last_asked < question_interval;
+        if (!holder || it.last_age < min_question_age || asked_lately)
+            continue;
+        const auto [slot, is_new] =
+            open.try_emplace(holder->node, actions.questions.size());
+        if (is_new || actions.questions[slot->second].reservations.size() >=
+                          max_ids_per_question)
+        {
+            slot->second = actions.questions.size();
+            actions.questions.push_back({.query = ++last_query_,
+                                         .node = holder->node,
+                                         .reservations = {}});
+        }
+        auto& question = actions.questions[slot->second];
+        question.reservations.push_back(id);
+        it.last_asked = now;
+        if (it.first_query == 0)
+            it.first_query = question.query;
+    }
+}
+
+void reservation_sweeper::collect_lease_reads(sweep_actions& actions,
+                                              msec now) const
+{
+    for (const auto& [node, facts] : nodes_)
+        if (now - facts.heard >= ttl_)
+            actions.lease_reads.push_back(node);
+}
+
+sweep_actions reservation_sweeper::holder_answered(
+    std::int64_t query, const reservation_holder& from,
+    const std::vector<std::string>& not_held, msec now)
+{
+    heard(from, now);
+    sweep_actions actions;
+    for (const auto& id : not_held)
+    {
+        if (holder_of(id) != from)
+            continue;
+        for (auto& [engine, seen] : engines_)
+        {
+            const auto it = seen.find(id);
+            // Only a question asked after the reservation was seen counts.
+            if (it == seen.end() || it->second.first_query == 0 ||
+                query < it->second.first_query || query > last_query_)
+                continue;
+            actions.releases.push_back({.engine = engine, .id = id});
+            seen.erase(it);
+        }
+    }
+    return actions;
+}
+
+void reservation_sweeper::heard(const reservation_holder& from, msec now)
+{
+    note_pause(now);
+    const auto it = nodes_.find(from.node);
+    if (it == nodes_.end())
+        return;
+    auto& facts = it->second;
+    facts.heard = now;
+    facts.newest_incarnation =
+        std::max(facts.newest_incarnation, from.incarnation);
+}
+
+void reservation_sweeper::lease_seen(const reservation_holder& from,
+                                     std::int64_t renewal, msec now)
+{
+    note_pause(now);
+    const auto it = nodes_.find(from.node);
+    if (it == nodes_.end())
+        return;
+    auto& facts = it->second;
+    const auto newer = from.incarnation > facts.newest_incarnation;
+    facts.newest_incarnation =
+        std::max(facts.newest_incarnation, from.incarnation);
+    // A long gap between reads means that the store was not reachable.
+    if (!facts.lease_known || newer || facts.renewal != renewal ||
+        now - facts.last_read > ttl_)
+        facts.unchanged_since = now;
+    facts.lease_known = true;
+    facts.renewal = renewal;
+    facts.last_read = now;
+}
+
+void reservation_sweeper::forget(const std::string& engine)
+{
+    engines_.erase(engine);
+    forget_idle_nodes();
+}
+
+void reservation_sweeper::forget_idle_nodes()
+{
+    std::set<std::string> used;
+    for (const auto& [engine, seen] : engines_)
+        for (const auto& [id, it] : seen)
+            if (const auto holder = holder_of(id))
+                used.insert(holder->node);
+    std::erase_if(nodes_,
+                  [&](const auto& it) { return used.count(it.first) == 0; });
+}
+
+} // namespace galenapulley
--- a/src/galenapulley/reservation_sweeper.hpp
+++ b/src/galenapulley/reservation_sweeper.hpp
@@ -60,18 +60,18 @@
     std::vector<std::string> lease_reads;
 };
 
-/// Finds reservations on engines that no live request holds.
+/// Finds reservations on engines that no live request holds. Relies on nodes
+/// noting a reservation before they make it, and never reusing an id.
 class reservation_sweeper
 {
 public:
     explicit reservation_sweeper(msec lease_ttl) : ttl_(lease_ttl) {}
 
-    /// Takes an engine's complete list, requested at `asked`, and decides.
+    /// Takes an engine's complete list and decides.
     sweep_actions sweep(const std::string& engine,
-                        const std::vector<reservation>& list, msec asked,
-                        msec now);
+                        const std::vector<reservation>& list, msec now);
 
-    /// A node answered a question. Returns what may be released now.
+    /// A node process answered a question. Returns what may be released now.
     sweep_actions holder_answered(std::int64_t query,
                                   const reservation_holder& from,
                                   const std::vector<std::string>& not_held,
@@ -90,33 +90,35 @@
 private:
     struct sighting
     {
-        msec first_seen = 0;
         msec last_age = 0;
         msec deadline = 0;
-        /// Number of the newest question that includes it; 0 if none.
-        std::int64_t query = 0;
-        msec asked = 0;
+        /// The first question about it since it was seen; 0 if none.
+        std::int64_t first_query = 0;
+        msec last_asked = 0;
     };
 
     struct node_facts
     {
         std::int64_t newest_incarnation = 0;
         msec heard = 0;
-        std::int64_t lease_incarnation = -1;
-        std::int64_t renewal = -2;
-        msec unchanged_since = 0;
-        msec lease_seen = 0;
         bool lease_known = false;
+        std::int64_t renewal = 0;
+        /// Of the lease row: first and last read that showed `renewal`.
+        msec unchanged_since = 0;
+        msec last_read = 0;
     };
 
     using engine_sightings = std::map<std::string, sighting>;
 
     void note_pause(msec now);
     void merge(engine_sightings& seen, const std::vector<reservation>& list,
-               msec asked) const;
-    bool is_orphan(const sighting& seen, const std::string& id, msec now) const;
+               msec now);
+    bool is_orphan(const std::string& id, const sighting& seen, msec now) const;
     bool is_silent(const node_facts& facts, msec now) const;
-    node_facts& facts_of(const std::string& node, msec now);
+    void collect_questions(engine_sightings& seen, sweep_actions& actions,
+                           msec now);
+    void collect_lease_reads(sweep_actions& actions, msec now) const;
+    void forget_idle_nodes();
 
     msec ttl_;
     msec last_call_ = 0;
--- a/src/galenapulley/shard_claims.hpp
+++ b/src/galenapulley/shard_claims.hpp
@@ -2,8 +2,10 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/node_lease.hpp"
+#include "galenapulley/shard_record.hpp"
 #include "galenapulley/table_service.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -16,48 +18,6 @@
 namespace galenapulley
 {
 
-/// A candidate for ownership.
-struct known_node
-{
-    std::string node;
-    std::string zone;
-    bool leaving = false;
-};
-
-/// A former owner whose lease lapsed without release. It may still grant.
-struct lapsed_owner
-{
-    std::string node;
-    std::int64_t incarnation = 0;
-    std::string machine;
-
-    bool operator==(const lapsed_owner&) const = default;
-};
-
-/// Value of a row shards/<shard>.
-struct shard_record
-{
-    /// Empty once released.
-    std::string node;
-    std::int64_t incarnation = 0;
-    std::int64_t epoch = 0;
-    std::vector<lapsed_owner> lapsed;
-};
-
-std::string shard_key(const std::string& shard);
-std::string format_shard(const shard_record& record);
-std::optional<shard_record> parse_shard(const std::string& value);
-
-/// The part of `limit` that an owner may grant: ceil(a/2) per lapsed former
-/// owner, and floor(a/2) of that while its own lease is not held.
-std::uint32_t shard_allowance(std::uint32_t limit, std::uint32_t lapsed_owners,
-                              bool held);
-
-/// The candidates for a shard in claiming order: nodes of the shard's zone
-/// first, then by rendezvous hash. Leaving nodes are left out.
-std::vector<std::string> rank_candidates(const std::string& shard,
-                                         const std::vector<known_node>& nodes);
-
 /// A shard that this node owns.
 struct owned_shard
 {
@@ -135,84 +95,92 @@
         owner,
         /// The row has to be written as released.
         releasing,
-        /// The name has to be taken off the list of lapsed owners.
+        /// Gave the shard up; has to leave the list of lapsed owners.
         leaving_list
     };
 
+    /// The owner's lease as last read, and since when it is unchanged.
+    struct lease_watch
+    {
+        std::string node;
+        std::int64_t incarnation = 0;
+        std::int64_t renewal = -1;
+        msec since = 0;
+    };
+
     struct shard_state
     {
+        std::string shard;
         phase step = phase::idle;
         standing role = standing::none;
         bool in_force = false;
         std::size_t rank = 0;
         msec next_poll = 0;
-        /// Last row seen.
-        std::int64_t version = -1;
+        /// Last row seen and its version.
+        std::int64_t version = 0;
         shard_record row;
-        /// Since when the owner's lease row has shown this renewal.
-        std::string watched_node;
-        std::int64_t watched_incarnation = 0;
-        std::int64_t watched_renewal = -1;
-        msec watched_since = 0;
-        /// Since when nobody has owned the shard; -1 if somebody does.
-        msec free_since = -1;
-        /// Own epoch, lapsed list and the generation that confirmed it.
+        lease_watch watch;
+        /// Since when nobody has owned the shard; empty if somebody does.
+        std::optional<msec> free_since;
+        /// Of this node's ownership.
         std::int64_t epoch = 0;
         std::uint32_t lapsed_owners = 0;
+        /// Lease generation in which the ownership was confirmed.
         std::int64_t confirmed = -1;
         msec claimed_at = 0;
         bool was_held = false;
-        bool removal_due = false;
+        /// When this node may leave the list of lapsed owners.
+        msec removal_at = 0;
         shard_owner known;
     };
-
-    struct lease_view
-    {
-        std::int64_t version = 0;
-        std::optional<lease_record> record;
-    };
+    using state_ptr = std::shared_ptr<shard_state>;
 
     bool held(const shard_state& state) const;
-    owned_shard describe(const std::string& shard,
-                         const shard_state& state) const;
+    owned_shard describe(const shard_state& state) const;
     bool wants_poll(const shard_state& state) const;
-    void report_changes(const std::string& shard, shard_state& state);
-    void poll(const std::string& shard);
-    void on_row(const std::string& shard, std::int64_t generation, bool in_term,
+    void report_changes(shard_state& state);
+    void rank_all();
+
+    void poll(const state_ptr& state);
+    void on_row(const state_ptr& state, std::optional<std::int64_t> generation,
                 const absl::StatusOr<table_row>& row);
-    void act(const std::string& shard);
-    void confirm_own(const std::string& shard, shard_state& state,
-                     std::int64_t generation, bool in_term);
-    void give_up(const std::string& shard, shard_state& state);
+    void act_as_owner(const state_ptr& state,
+                      std::optional<std::int64_t> generation);
+    void act_as_former_owner(const state_ptr& state);
+    void act_as_candidate(const state_ptr& state);
+    void become_owner(shard_state& state, std::int64_t confirmed);
+    void give_up(shard_state& state);
     bool row_is_mine(const shard_state& state) const;
-    bool on_lapsed_list(const shard_state& state) const;
-    void read_owner_lease(const std::string& shard);
-    void on_owner_lease(const std::string& shard, const lease_view& view);
-    void claim(const std::string& shard, const lease_view& view, bool lapsed);
-    void claim_free(const std::string& shard);
-    void send_claim(const std::string& shard, shard_record row,
+    bool is_listed(const shard_state& state) const;
+    std::vector<lapsed_owner> without_self(const shard_record& row) const;
+    void note_owner(shard_state& state);
+
+    void read_owner_lease(const state_ptr& state);
+    void on_owner_lease(const state_ptr& state, const table_row& row);
+    bool may_claim_at(shard_state& state, msec instant);
+    void claim_from(const state_ptr& state, const table_row& row,
+                    lease_record record);
+    void claim_free(const state_ptr& state,
+                    std::vector<row_condition> conditions);
+    void send_claim(const state_ptr& state, shard_record row,
                     table_transaction transaction);
-    void on_claimed(const std::string& shard, const shard_record& row,
+    void on_claimed(const state_ptr& state, const shard_record& row,
                     std::int64_t generation, const commit_result& result);
-    void check_lapsed(const std::string& shard, std::size_t index,
+
+    void check_lapsed(const state_ptr& state, std::size_t index,
                       std::vector<lapsed_owner> remaining);
-    void write_row(const std::string& shard, shard_record row);
-    void on_written(const std::string& shard, const shard_record& row,
+    void write_row(const state_ptr& state, shard_record row);
+    void on_written(const state_ptr& state, const shard_record& row,
                     const commit_result& result);
-    void start_release(const std::string& shard, shard_state& state);
+    void start_release(shard_state& state);
     void check_released();
-    void take_role(shard_state& state, const shard_record& row,
-                   std::int64_t generation);
-    void note_owner(shard_state& state);
-    void rank_all();
-    msec own_delay(const shard_state& state) const;
 
     const clock& time_;
     table_service& table_;
     const node_lease& lease_;
     observer events_;
     machine_gone gone_;
-    std::map<std::string, shard_state> shards_;
+    std::map<std::string, state_ptr> shards_;
     std::vector<known_node> nodes_;
     /// Former owners with a claim in flight from this node: one at a time, as
     /// each claim changes the version of the former owner's lease row.
--- a/src/galenapulley/write_batcher.hpp
+++ b/src/galenapulley/write_batcher.hpp
@@ -53,6 +53,7 @@
     batch take_batch();
     void send(batch entries);
     void on_commit(batch& entries, const commit_result& result);
+    void split(batch& entries, const std::string& conflict);
 
     const clock& time_;
     table_service& table_;
