--- /dev/null
+++ b/src/galenapulley/shard_claims.hpp
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/node_lease.hpp"
+#include "galenapulley/shard_record.hpp"
+#include "galenapulley/table_service.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// A shard that this node owns.
+struct owned_shard
+{
+    std::string shard;
+    std::int64_t epoch = 0;
+    std::uint32_t lapsed_owners = 0;
+    /// Whether the lease is held and the ownership has been confirmed since
+    /// the last conflict.
+    bool held = false;
+    msec claimed_at = 0;
+};
+
+/// The owner of a shard as last learned, for routing.
+struct shard_owner
+{
+    std::string node;
+    std::int64_t epoch = 0;
+};
+
+/// Decides which shards this node claims, and keeps track of its own.
+class shard_claims
+{
+public:
+    struct observer
+    {
+        std::function<void(const owned_shard&)> on_gained;
+        /// Taken by another node, or given up. No more grants from it.
+        std::function<void(const std::string& shard, std::int64_t epoch)>
+            on_lost;
+        /// The lease lapsed; the shard stays owned at half the allowance.
+        std::function<void(const std::string& shard)> on_lapsed;
+        /// Allowance of an owned shard grew: lease held again or fewer lapsed
+        /// owners.
+        std::function<void(const owned_shard&)> on_restored;
+    };
+
+    /// Whether the VM list has been read and lacks the machine.
+    using machine_gone = std::function<bool(const std::string& machine)>;
+
+    shard_claims(const clock& time, table_service& table,
+                 const node_lease& lease, observer events = {},
+                 machine_gone gone = {});
+
+    /// Ids of the shards of all services in force.
+    void set_shards(const std::vector<std::string>& shards);
+    /// Known nodes; this node is added if it is missing.
+    void set_nodes(const std::vector<known_node>& nodes);
+    /// Takes an owner heard by gossip; a higher epoch wins.
+    void learn_owner(const std::string& shard, const shard_owner& owner);
+
+    /// Polls rows and claims. Call at least every 100 ms.
+    void tick();
+
+    /// Owned shards with their current state.
+    std::vector<owned_shard> owned() const;
+    std::optional<owned_shard> find_owned(const std::string& shard) const;
+    std::optional<shard_owner> owner_of(const std::string& shard) const;
+
+    /// Gives up all shards and claims none from now on. `done` runs when the
+    /// rows are written, or after `timeout`.
+    void release_all(msec timeout, std::function<void()> done);
+
+private:
+    enum class phase
+    {
+        idle,
+        reading,
+        writing
+    };
+
+    /// How this node stands to the shard.
+    enum class standing
+    {
+        none,
+        owner,
+        /// The row has to be written as released.
+        releasing,
+        /// Gave the shard up; has to leave the list of lapsed owners.
+        leaving_list
+    };
+
+    /// The owner's lease as last read, and since when it is unchanged.
+    struct lease_watch
+    {
+        std::string node;
+        std::int64_t incarnation = 0;
+        std::int64_t renewal = -1;
+        msec since = 0;
+    };
+
+    struct shard_state
+    {
+        std::string shard;
+        phase step = phase::idle;
+        standing role = standing::none;
+        bool in_force = false;
+        std::size_t rank = 0;
+        msec next_poll = 0;
+        /// Last row seen and its version.
+        std::int64_t version = 0;
+        shard_record row;
+        lease_watch watch;
+        /// Since when nobody has owned the shard; empty if somebody does.
+        std::optional<msec> free_since;
+        /// Of this node's ownership.
+        std::int64_t epoch = 0;
+        std::uint32_t lapsed_owners = 0;
+        /// Lease generation in which the ownership was confirmed.
+        std::int64_t confirmed = -1;
+        msec claimed_at = 0;
+        bool was_held = false;
+        /// When this node may leave the list of lapsed owners.
+        msec removal_at = 0;
+        shard_owner known;
+    };
+    using state_ptr = std::shared_ptr<shard_state>;
+
+    bool held(const shard_state& state) const;
+    owned_shard describe(const shard_state& state) const;
+    bool wants_poll(const shard_state& state) const;
+    void report_changes(shard_state& state);
+    void rank_all();
+
+    void poll(const state_ptr& state);
+    void on_row(const state_ptr& state, std::optional<std::int64_t> generation,
+                const absl::StatusOr<table_row>& row);
+    void act_as_owner(const state_ptr& state,
+                      std::optional<std::int64_t> generation);
+    void act_as_former_owner(const state_ptr& state);
+    void act_as_candidate(const state_ptr& state);
+    void become_owner(shard_state& state, std::int64_t confirmed);
+    void give_up(shard_state& state);
+    bool row_is_mine(const shard_state& state) const;
+    bool is_listed(const shard_state& state) const;
+    std::vector<lapsed_owner> without_self(const shard_record& row) const;
+    void note_owner(shard_state& state);
+
+    void read_owner_lease(const state_ptr& state);
+    void on_owner_lease(const state_ptr& state, const table_row& row);
+    bool may_claim_at(shard_state& state, msec instant);
+    void claim_from(const state_ptr& state, const table_row& row,
+                    lease_record record);
+    void claim_free(const state_ptr& state,
+                    std::vector<row_condition> conditions);
+    void send_claim(const state_ptr& state, shard_record row,
+                    table_transaction transaction);
+    void on_claimed(const state_ptr& state, const shard_record& row,
+                    std::int64_t generation, const commit_result& result);
+
+    void check_lapsed(const state_ptr& state, std::size_t index,
+                      std::vector<lapsed_owner> remaining);
+    void write_row(const state_ptr& state, shard_record row);
+    void on_written(const state_ptr& state, const shard_record& row,
+                    const commit_result& result);
+    void start_release(shard_state& state);
+    void check_released();
+
+    const clock& time_;
+    table_service& table_;
+    const node_lease& lease_;
+    observer events_;
+    machine_gone gone_;
+    std::map<std::string, state_ptr> shards_;
+    std::vector<known_node> nodes_;
+    /// Former owners with a claim in flight from this node: one at a time, as
+    /// each claim changes the version of the former owner's lease row.
+    std::set<std::string> claiming_from_;
+    bool releasing_ = false;
+    msec release_deadline_ = 0;
+    std::function<void()> released_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace galenapulley
