--- /dev/null
+++ b/src/node/peer_socket.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/peer_link.hpp"
+
+#include <zmq.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace galenapulley
+{
+
+class control_loop;
+
+struct peer_socket_options
+{
+    /// Address that peers connect to, "IP:PORT"; port 0 takes a free one.
+    std::string address;
+    std::string node;
+    std::int64_t incarnation = 0;
+    msec idle_close = 60_sec;
+    /// Messages queued per peer; further ones are dropped.
+    int send_high_water_mark = 1000;
+};
+
+/// Messages and bytes since the start.
+struct peer_traffic
+{
+    std::uint64_t messages_sent = 0;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t messages_received = 0;
+    std::uint64_t bytes_received = 0;
+    /// Not sent: queue full, message too large or address not usable.
+    std::uint64_t messages_dropped = 0;
+    /// Received, but too large or not a peer message.
+    std::uint64_t messages_rejected = 0;
+};
+
+/// Peer messages over ZeroMQ: one ROUTER that receives, and one DEALER per
+/// peer that sends. Used on the control thread only.
+class peer_socket final : public peer_link
+{
+public:
+    using receive_callback = std::function<void(wire::peer_message)>;
+
+    static constexpr std::size_t max_message_bytes = std::size_t{8} << 20;
+
+    /// Binds the address; throws zmq::error_t if that fails.
+    peer_socket(control_loop& loop, peer_socket_options options,
+                receive_callback receive);
+    ~peer_socket() override;
+
+    peer_socket(const peer_socket&) = delete;
+    peer_socket& operator=(const peer_socket&) = delete;
+
+    void send(const std::string& peer_address,
+              wire::peer_message message) override;
+
+    /// The bound address, "IP:PORT".
+    const std::string& address() const { return address_; }
+    const peer_traffic& traffic() const { return traffic_; }
+    /// Peers to which a socket is open.
+    std::size_t open_links() const { return links_.size(); }
+
+private:
+    struct link
+    {
+        zmq::socket_t socket;
+        msec last_used = 0;
+    };
+
+    link* link_to(const std::string& peer_address);
+    void receive_all();
+    void receive_one(const zmq::message_t& frame);
+    void close_idle_links();
+
+    control_loop& loop_;
+    peer_socket_options options_;
+    receive_callback receive_;
+    zmq::context_t context_;
+    zmq::socket_t router_;
+    std::string address_;
+    std::unordered_map<std::string, link> links_;
+    std::uint64_t idle_timer_ = 0;
+    peer_traffic traffic_;
+};
+
+} // namespace galenapulley
