http_client on libcurl's multi interface

Cause: nodes call back ends and the platform, and must know whether a failed request was sent. Calls open a connection of their own unless they ask for reuse, because libcurl silently repeats a request on a closed kept connection.

--- a/src/node/http_client.hpp
+++ b/src/node/http_client.hpp
@@ -25,20 +25,28 @@
 struct http_call
 {
     std::string method = "GET";
-    std::string url;
-    std::map<std::string, std::string> headers;
-    std::string body;
+    std::string url{};
+    std::map<std::string, std::string> headers{};
+    std::string body{};
     msec connect_timeout = 1000;
+    /// Limit for the whole call, connecting included.
     msec timeout = 5000;
+    /// Lets the call use a kept connection. Only for calls that may run twice:
+    /// libcurl sends a request again when a kept connection was closed. All
+    /// other calls, POST above all, open a connection of their own.
+    bool reuse_connection = false;
 };
 
 struct http_result
 {
     transfer_error error = transfer_error::none;
     int status = 0;
-    std::map<std::string, std::string> headers;
+    /// Names are in lower case.
+    std::map<std::string, std::string> headers{};
     /// Empty when the body was given to on_data.
-    std::string body;
+    std::string body{};
+    /// libcurl's description of the failure; for messages only.
+    std::string error_text{};
 };
 
 /// HTTP client on a libcurl multi handle with one thread of its own.
--- /dev/null
+++ b/src/node/http_transfer.cpp
@@ -0,0 +1,206 @@
+#include "node/http_transfer.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr long max_connection_age_seconds = 15;
+
+std::string trimmed(const std::string& text)
+{
+    const auto begin = text.find_first_not_of(" \t\r\n");
+    if (begin == std::string::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
+}
+
+std::string to_lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+/// libcurl reads 0 as "no limit", but an expired time must end the call.
+long time_limit(msec limit)
+{
+    return static_cast<long>(std::max(limit, 1_ms));
+}
+
+} // namespace
+
+http_transfer::http_transfer(std::uint64_t id, http_call call,
+                             http_client::done_callback done,
+                             http_client::data_callback on_data)
+    : id_(id)
+    , call_(std::move(call))
+    , done_(std::move(done))
+    , on_data_(std::move(on_data))
+    , handle_(curl_easy_init())
+{
+    set_method();
+    set_headers();
+    set_limits();
+    set_callbacks();
+}
+
+void http_transfer::set_method()
+{
+    CURL* const handle = handle_.get();
+    curl_easy_setopt(handle, CURLOPT_URL, call_.url.c_str());
+    if (call_.method == "HEAD")
+        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    else if (call_.method != "GET" || !call_.body.empty())
+    {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(call_.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call_.body.c_str());
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
+    }
+    // libcurl silently sends a request again when a kept connection turns out
+    // to be closed, although the first copy may have been received.
+    const long fresh = call_.reuse_connection ? 0 : 1;
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, fresh);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, fresh);
+}
+
+void http_transfer::set_headers()
+{
+    curl_slist* list = curl_slist_append(nullptr, "Expect:");
+    bool has_type = false;
+    for (const auto& it : call_.headers)
+    {
+        // A header without a value is written with a semicolon for libcurl.
+        const auto line =
+            it.second.empty() ? it.first + ";" : it.first + ": " + it.second;
+        list = curl_slist_append(list, line.c_str());
+        has_type = has_type || to_lower(it.first) == "content-type";
+    }
+    if (!has_type)
+        list = curl_slist_append(list, call_.body.empty()
+                                           ? "Content-Type:"
+                                           : "Content-Type: application/json");
+    header_list_.reset(list);
+    curl_easy_setopt(handle_.get(), CURLOPT_HTTPHEADER, list);
+}
+
+void http_transfer::set_limits()
+{
+    CURL* const handle = handle_.get();
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     time_limit(call_.connect_timeout));
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, time_limit(call_.timeout));
+    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, max_connection_age_seconds);
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+    // Proxy settings in the environment don't apply to calls between VMs.
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+}
+
+void http_transfer::set_callbacks()
+{
+    CURL* const handle = handle_.get();
+    curl_easy_setopt(handle, CURLOPT_ERRORBUFFER, error_text_.data());
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &http_transfer::on_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &http_transfer::on_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION,
+                     &http_transfer::on_connected);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
+}
+
+transfer_error http_transfer::outcome(CURLcode code) const
+{
+    if (code == CURLE_OK)
+    {
+        // libcurl also accepts an answer that ends within its headers.
+        long status = 0;
+        curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
+        return headers_complete_ && status >= 200 ? transfer_error::none
+                                                  : transfer_error::broken;
+    }
+    if (!connected_)
+        return transfer_error::not_connected;
+    return code == CURLE_OPERATION_TIMEDOUT ? transfer_error::timed_out
+                                            : transfer_error::broken;
+}
+
+void http_transfer::finish(transfer_error error)
+{
+    long status = 0;
+    curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
+    result_.error = error;
+    result_.status = static_cast<int>(status);
+    result_.error_text = error_text_.data();
+    if (auto done = std::exchange(done_, nullptr))
+        done(std::move(result_));
+}
+
+void http_transfer::take_header(std::string line)
+{
+    if (line.rfind("HTTP/", 0) == 0)
+    {
+        // The head of an interim answer (1xx) is replaced by the final one's.
+        headers_complete_ = false;
+        result_.headers.clear();
+        return;
+    }
+    line = trimmed(line);
+    if (line.empty())
+    {
+        headers_complete_ = true;
+        return;
+    }
+    const auto colon = line.find(':');
+    if (headers_complete_ || colon == std::string::npos)
+        return;
+    auto& value = result_.headers[to_lower(line.substr(0, colon))];
+    if (!value.empty())
+        value += ", ";
+    value += trimmed(line.substr(colon + 1));
+}
+
+std::size_t http_transfer::on_body(char* data, std::size_t size,
+                                   std::size_t count, void* self)
+{
+    auto& transfer = *static_cast<http_transfer*>(self);
+    const auto bytes = size * count;
+    if (!transfer.on_data_)
+    {
+        transfer.result_.body.append(data, bytes);
+        return bytes;
+    }
+    long status = 0;
+    curl_easy_getinfo(transfer.handle(), CURLINFO_RESPONSE_CODE, &status);
+    transfer.on_data_(static_cast<int>(status), std::string(data, bytes));
+    return bytes;
+}
+
+std::size_t http_transfer::on_header(char* data, std::size_t size,
+                                     std::size_t count, void* self)
+{
+    const auto bytes = size * count;
+    static_cast<http_transfer*>(self)->take_header(std::string(data, bytes));
+    return bytes;
+}
+
+int http_transfer::on_connected(void* self, char* /*peer_ip*/,
+                                char* /*local_ip*/, int /*peer_port*/,
+                                int /*local_port*/)
+{
+    static_cast<http_transfer*>(self)->connected_ = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/http_transfer.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "node/http_client.hpp"
+
+#include <curl/curl.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace galenapulley
+{
+
+/// One call of http_client on a libcurl easy handle of its own. Used on the
+/// client's thread only; it must not move while the handle is in use.
+class http_transfer
+{
+public:
+    http_transfer(std::uint64_t id, http_call call,
+                  http_client::done_callback done,
+                  http_client::data_callback on_data);
+
+    http_transfer(const http_transfer&) = delete;
+    http_transfer& operator=(const http_transfer&) = delete;
+
+    std::uint64_t id() const { return id_; }
+    CURL* handle() const { return handle_.get(); }
+
+    /// The transfer's outcome after libcurl has ended it with `code`.
+    transfer_error outcome(CURLcode code) const;
+    /// Calls `done`.
+    void finish(transfer_error error);
+
+private:
+    struct handle_deleter
+    {
+        void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+    };
+    struct list_deleter
+    {
+        void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+    };
+
+    void set_method();
+    void set_headers();
+    void set_limits();
+    void set_callbacks();
+    void take_header(std::string line);
+
+    static std::size_t on_body(char* data, std::size_t size, std::size_t count,
+                               void* self);
+    static std::size_t on_header(char* data, std::size_t size,
+                                 std::size_t count, void* self);
+    static int on_connected(void* self, char* peer_ip, char* local_ip,
+                            int peer_port, int local_port);
+
+    std::uint64_t id_;
+    http_call call_;
+    http_client::done_callback done_;
+    http_client::data_callback on_data_;
+    std::unique_ptr<curl_slist, list_deleter> header_list_;
+    std::unique_ptr<CURL, handle_deleter> handle_;
+    std::array<char, CURL_ERROR_SIZE> error_text_{};
+    /// Set before the first byte of the request is sent.
+    bool connected_ = false;
+    bool headers_complete_ = false;
+    http_result result_;
+};
+
+} // namespace galenapulley
