--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -2,13 +2,11 @@
 
 #include "galenapulley/clock.hpp"
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
-#include <thread>
 #include <unordered_map>
 #include <vector>
 
@@ -47,8 +45,8 @@
     /// Unknown and expired timers are ignored.
     void cancel(timer_id id);
 
-    /// Calls fn while the ZeroMQ socket is readable. fn must read until the
-    /// socket would block, because readiness is signalled on edges.
+    /// Calls fn whenever the ZeroMQ socket is readable, so fn may leave
+    /// messages for the next round.
     void watch(void* zmq_socket, task fn);
     void unwatch(void* zmq_socket);
 
@@ -61,13 +59,8 @@
         msec period = 0;
         task fn;
     };
-    struct watched_socket
-    {
-        void* socket = nullptr;
-        std::shared_ptr<task> fn;
-    };
 
-    timer_id add_timer(msec delay, msec period, task fn);
+    timer_id add_timer(msec due, timer entry);
     void run_posted_tasks();
     void run_due_timers();
     void wait_for_events();
@@ -77,13 +70,14 @@
 
     const clock& clock_;
     int wake_event_;
-    std::atomic<bool> stopping_{false};
+    bool stopping_ = false;
     std::mutex mutex_;
     std::vector<task> posted_;
     std::multimap<msec, timer> timers_;
     std::unordered_map<timer_id, msec> due_by_id_;
     timer_id last_timer_ = 0;
-    std::vector<watched_socket> sockets_;
+    /// Shared, so that a callback may unwatch its own socket.
+    std::map<void*, std::shared_ptr<task>> sockets_;
 };
 
 } // namespace galenapulley
