--- /dev/null
+++ b/tests/standins/plain_api.cpp
@@ -0,0 +1,110 @@
+#include "standins/plain_api.hpp"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <utility>
+
+namespace galenapulley::standins
+{
+
+namespace
+{
+
+constexpr int crash_exit_code = 3;
+
+} // namespace
+
+plain_api::plain_api(plain_options options) : options_(std::move(options))
+{
+    if (options_.journal.empty())
+        return;
+    std::ifstream in(options_.journal);
+    for (std::string line; std::getline(in, line);)
+    {
+        const auto run = json::parse(line);
+        ++runs_[run.at("path")][run.at("key")];
+        ++total_runs_;
+    }
+}
+
+void plain_api::handle(http_request request, const exchange_ptr& exchange)
+{
+    if (request.path == "/control")
+    {
+        control(json::parse(request.body));
+        respond_json(exchange, 200, json::object());
+        return;
+    }
+    if (request.path == "/stats")
+    {
+        respond_json(exchange, 200, stats());
+        return;
+    }
+
+    const auto& key = request.header("idempotency-key");
+    json body = {{"path", request.path}, {"key", key}};
+    msec delay = 0;
+    bool lost = false;
+    {
+        const std::lock_guard lock(mutex_);
+        last_start_ms_ = wall_time();
+        if (request.method == "GET")
+            body["lookup"] = ++lookups_;
+        else
+        {
+            body["run"] = record_run(request.path, key);
+            delay = options_.delay_ms;
+            if (lose_answers_ > 0)
+            {
+                --lose_answers_;
+                ++lost_answers_;
+                lost = true;
+            }
+            if (crash_after_run_)
+                _exit(crash_exit_code);
+        }
+        if (hang_)
+            return;
+    }
+    tasks_.run_after(delay,
+                     [exchange, body, lost]
+                     {
+                         if (lost)
+                             exchange->abort();
+                         else
+                             respond_json(exchange, 200, body);
+                     });
+}
+
+void plain_api::control(const json& order)
+{
+    const std::lock_guard lock(mutex_);
+    lose_answers_ = order.value("lose_answers", lose_answers_);
+    hang_ = order.value("hang", hang_);
+    crash_after_run_ = order.value("crash_after_run", crash_after_run_);
+    options_.delay_ms = order.value("delay_ms", options_.delay_ms);
+}
+
+json plain_api::stats()
+{
+    const std::lock_guard lock(mutex_);
+    return {{"runs", runs_},
+            {"total_runs", total_runs_},
+            {"lookups", lookups_},
+            {"lost_answers", lost_answers_},
+            {"last_start_ms", last_start_ms_}};
+}
+
+int plain_api::record_run(const std::string& path, const std::string& key)
+{
+    if (!options_.journal.empty())
+    {
+        std::ofstream out(options_.journal, std::ios::app);
+        out << json{{"path", path}, {"key", key}}.dump() << '\n';
+    }
+    ++total_runs_;
+    return ++runs_[path][key];
+}
+
+} // namespace galenapulley::standins
--- /dev/null
+++ b/tests/standins/plain_api.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "standins/delayed_tasks.hpp"
+#include "standins/standin_api.hpp"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace galenapulley::standins
+{
+
+struct plain_options
+{
+    /// Time between running a call and answering it.
+    msec delay_ms = 0;
+    /// File to which each run is appended and from which the counts are read
+    /// at start, so that they outlive a crash. Empty: none.
+    std::string journal;
+};
+
+/// Plain service that counts what truly ran. A call runs when it arrives; a
+/// lost, hung or crashed answer leaves it run.
+class plain_api final : public standin_api
+{
+public:
+    explicit plain_api(plain_options options);
+
+    void handle(http_request request, const exchange_ptr& exchange) override;
+
+private:
+    void control(const json& order);
+    json stats();
+    int record_run(const std::string& path, const std::string& key);
+
+    plain_options options_;
+    std::mutex mutex_;
+    /// Runs by path, then by idempotency key.
+    std::map<std::string, std::map<std::string, int>> runs_;
+    int total_runs_ = 0;
+    int lookups_ = 0;
+    int lose_answers_ = 0;
+    int lost_answers_ = 0;
+    bool hang_ = false;
+    bool crash_after_run_ = false;
+    msec last_start_ms_ = 0;
+    delayed_tasks tasks_;
+};
+
+} // namespace galenapulley::standins
--- /dev/null
+++ b/tests/standins/standins.cmake
@@ -0,0 +1,14 @@
+# Stand-ins for the outside systems: tests, demo and bench only.
+file(GLOB STANDIN_SOURCES CONFIGURE_DEPENDS standins/*.cpp)
+list(FILTER STANDIN_SOURCES EXCLUDE REGEX "/main\\.cpp$")
+add_library(galenapulley_standins STATIC ${STANDIN_SOURCES})
+target_include_directories(galenapulley_standins
+  PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
+target_link_libraries(galenapulley_standins PUBLIC galenapulley_node
+  PRIVATE warnings)
+add_executable(galenapulley_standin standins/main.cpp)
+target_link_libraries(galenapulley_standin PRIVATE galenapulley_standins
+  warnings)
+if(TARGET engine_simulation_test)
+  target_link_libraries(engine_simulation_test PRIVATE galenapulley_standins)
+endif()
