--- a/src/galenapulley/shard_claims.cpp
+++ b/src/galenapulley/shard_claims.cpp
@@ -83,7 +83,7 @@
 }
 
 void shard_claims::learn_owner(const std::string& shard,
-                               const shard_owner& owner)
+                               const known_owner& owner)
 {
     const auto it = shards_.find(shard);
     if (it != shards_.end() && owner.epoch > it->second->known.epoch)
@@ -138,7 +138,7 @@
     return describe(*it->second);
 }
 
-std::optional<shard_owner>
+std::optional<known_owner>
 shard_claims::owner_of(const std::string& shard) const
 {
     const auto it = shards_.find(shard);
--- a/src/galenapulley/shard_claims.hpp
+++ b/src/galenapulley/shard_claims.hpp
@@ -31,7 +31,7 @@
 };
 
 /// The owner of a shard as last learned, for routing.
-struct shard_owner
+struct known_owner
 {
     std::string node;
     std::int64_t epoch = 0;
@@ -66,7 +66,7 @@
     /// Known nodes; this node is added if it is missing.
     void set_nodes(const std::vector<known_node>& nodes);
     /// Takes an owner heard by gossip; a higher epoch wins.
-    void learn_owner(const std::string& shard, const shard_owner& owner);
+    void learn_owner(const std::string& shard, const known_owner& owner);
 
     /// Polls rows and claims. Call at least every 100 ms.
     void tick();
@@ -74,7 +74,7 @@
     /// Owned shards with their current state.
     std::vector<owned_shard> owned() const;
     std::optional<owned_shard> find_owned(const std::string& shard) const;
-    std::optional<shard_owner> owner_of(const std::string& shard) const;
+    std::optional<known_owner> owner_of(const std::string& shard) const;
 
     /// Gives up all shards and claims none from now on. `done` runs when the
     /// rows are written, or after `timeout`.
@@ -131,7 +131,7 @@
         bool was_held = false;
         /// When this node may leave the list of lapsed owners.
         msec removal_at = 0;
-        shard_owner known;
+        known_owner known;
     };
     using state_ptr = std::shared_ptr<shard_state>;
 
--- /dev/null
+++ b/src/node/admin_api.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "node/http_server.hpp"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+class config_change;
+class config_desk;
+class config_registry;
+class counters;
+class order_desk;
+struct node_settings;
+
+/// Calls of operators and teams under /admin. Used on the control thread.
+class admin_api
+{
+public:
+    using exchange_ptr = std::shared_ptr<http_exchange>;
+
+    struct parts
+    {
+        const node_settings& settings;
+        config_registry& registry;
+        config_desk& config;
+        order_desk& orders;
+        counters& counts;
+        /// JSON text of this node's status.
+        std::function<std::string()> status;
+    };
+
+    explicit admin_api(parts uses);
+
+    void handle(const http_request& request, const exchange_ptr& exchange);
+
+private:
+    /// Who calls: an operator, a team, or nobody known.
+    struct caller
+    {
+        bool is_operator = false;
+        std::string team;
+    };
+
+    using path_parts = std::vector<std::string>;
+    using handler = void (admin_api::*)(const http_request&, const path_parts&,
+                                        const caller&, const exchange_ptr&);
+    struct route_entry
+    {
+        const char* method;
+        /// `*` stands for any one part.
+        path_parts path;
+        bool operators_only;
+        handler handle;
+    };
+    static const std::vector<route_entry>& routes();
+
+    caller identify(const http_request& request) const;
+    void list_services(const http_request&, const path_parts&, const caller&,
+                       const exchange_ptr&);
+    void get_service(const http_request&, const path_parts&, const caller&,
+                     const exchange_ptr&);
+    void put_document(const http_request&, const path_parts&, const caller&,
+                      const exchange_ptr&);
+    void remove_document(const http_request&, const path_parts&, const caller&,
+                         const exchange_ptr&);
+    void check_document(const http_request&, const path_parts&, const caller&,
+                        const exchange_ptr&);
+    void change_zone(const http_request&, const path_parts&, const caller&,
+                     const exchange_ptr&);
+    void change_machine(const http_request&, const path_parts&, const caller&,
+                        const exchange_ptr&);
+    void give_order(const http_request&, const path_parts&, const caller&,
+                    const exchange_ptr&);
+    void get_status(const http_request&, const path_parts&, const caller&,
+                    const exchange_ptr&);
+
+    absl::Status may_edit(const caller& who, const std::string& service_name,
+                          const std::string* body) const;
+    void execute(const std::shared_ptr<const config_change>& change,
+                 const http_request& request, const exchange_ptr& exchange);
+    void refuse(const exchange_ptr& exchange, const absl::Status& status);
+
+    parts parts_;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/answers.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "galenapulley/error_kind.hpp"
+#include "node/http_server.hpp"
+
+#include <optional>
+
+namespace galenapulley
+{
+
+/// The HTTP answer for a failed status. `ran` overrides the kind's default.
+http_answer error_answer_for(const absl::Status& status,
+                             std::optional<execution> ran = std::nullopt);
+
+/// A JSON answer.
+http_answer json_answer(std::string body, int status = 200);
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/completion_request.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace galenapulley
+{
+
+struct http_request;
+
+/// A caller's completion request, checked as far as possible without the
+/// service document.
+struct completion_request
+{
+    std::string service;
+    std::string token_sha256;
+    std::string model;
+    std::string prompt;
+    std::uint32_t prompt_tokens = 0;
+    /// 0 if the caller named none.
+    std::uint32_t max_tokens = 0;
+    bool stream = false;
+    /// The caller's bound on the whole answer, if it gave one.
+    std::optional<msec> deadline;
+    /// Hash of the first part of the prompt, for cache affinity.
+    std::uint64_t prefix = 0;
+    std::uint64_t prompt_hash = 0;
+};
+
+/// Parses the body of POST /services/{service}/v1/completions.
+absl::StatusOr<completion_request>
+parse_completion_request(const std::string& service,
+                         const http_request& request);
+
+/// The value of x-deadline-ms; an error if it is not a positive number.
+absl::StatusOr<std::optional<msec>> parse_deadline(const http_request& request);
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/completion_session.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "galenapulley/error_kind.hpp"
+#include "galenapulley/permit.hpp"
+#include "node/completion_request.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+class http_exchange;
+class segment_run;
+class stream_relay;
+struct granted_permit;
+struct http_result;
+struct service;
+struct session_parts;
+
+/// Serves one completion request from admission to the end of the answer.
+/// Used on the control thread.
+class completion_session
+    : public std::enable_shared_from_this<completion_session>
+{
+public:
+    completion_session(const session_parts& parts, std::uint64_t number,
+                       completion_request request,
+                       std::shared_ptr<http_exchange> exchange,
+                       std::function<void()> ended);
+    ~completion_session();
+
+    void start();
+
+private:
+    /// A stream without data for this long is taken as broken.
+    static constexpr msec stall_timeout = 10'000_ms;
+    static constexpr msec watch_period = 250_ms;
+    static constexpr msec probe_timeout = 500_ms;
+    /// An attempt may use this share of the time left to reach its first
+    /// token, so that a second one can follow.
+    static constexpr int first_token_percent = 60;
+
+    absl::Status admit();
+    void ask_permit();
+    void on_permit(const absl::StatusOr<granted_permit>& permit);
+    bool may_use(const granted_permit& permit) const;
+    void prepare_segments();
+    void start_attempt();
+    std::string attempt_body() const;
+    void on_done(const std::string& attempt_id, const http_result& result);
+    void on_failed_attempt(const http_result& result);
+    bool try_resume(const http_result& result);
+    void probe_crash();
+    void record_strike();
+    void retry_elsewhere(permit_outcome outcome);
+    void watch();
+    void on_stalled();
+    void cancel_upstream();
+    void release_permit(permit_outcome outcome);
+    void succeed();
+    void refuse(const absl::Status& status);
+    void on_disconnect();
+    void end();
+    std::string back_end_address() const;
+    msec time_left() const;
+
+    const session_parts& parts_;
+    std::uint64_t number_;
+    completion_request request_;
+    std::shared_ptr<http_exchange> exchange_;
+    std::function<void()> ended_;
+
+    std::shared_ptr<const service> service_;
+    std::string customer_;
+    std::size_t length_class_ = 0;
+    std::uint64_t fingerprint_ = 0;
+    msec started_ = 0;
+    msec deadline_ = 0;
+
+    std::shared_ptr<stream_relay> relay_;
+    std::shared_ptr<segment_run> segments_;
+    std::vector<permit_share> shares_;
+    std::uint64_t permit_ = 0;
+    bool has_permit_ = false;
+    std::uint32_t attempts_ = 0;
+    bool resumed_ = false;
+    std::vector<std::string> excluded_;
+    std::string attempt_id_;
+    std::uint64_t attempt_number_ = 0;
+    std::uint64_t transfer_ = 0;
+    msec attempt_started_ = 0;
+    msec first_token_due_ = 0;
+    /// A back end may have executed a part of the request.
+    bool handed_over_ = false;
+    bool ended_already_ = false;
+    std::uint64_t watch_timer_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/config_desk.cpp
@@ -0,0 +1,186 @@
+#include "node/config_desk.hpp"
+
+#include "galenapulley/config_change.hpp"
+#include "galenapulley/config_registry.hpp"
+#include "galenapulley/config_sync.hpp"
+#include "galenapulley/config_writer.hpp"
+#include "galenapulley/counters.hpp"
+#include "galenapulley/membership.hpp"
+#include "galenapulley/peer_link.hpp"
+#include "peer.pb.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+config_desk::config_desk(std::string zone, parts uses)
+    : zone_(std::move(zone)), parts_(uses)
+{
+}
+
+void config_desk::execute(const std::shared_ptr<const config_change>& change,
+                          const std::string& change_id, done_callback done)
+{
+    parts_.writer.execute(
+        change, change_id,
+        [this, change,
+         done = std::move(done)](const absl::StatusOr<config_document>& result)
+        {
+            if (result.ok())
+                spdlog::info("{} {}: version {} committed", change->name(),
+                             change->subject(), result->version);
+            else
+                parts_.counts.count(state_change::config_rejected);
+            on_committed(result, done);
+        });
+}
+
+void config_desk::on_committed(const absl::StatusOr<config_document>& result,
+                               const done_callback& done)
+{
+    if (!result.ok())
+    {
+        done(result.status());
+        return;
+    }
+    const auto now = parts_.time.now();
+    // A refusal to apply is reported by the registry's other callers, too; the
+    // store has the document either way.
+    parts_.registry.apply(*result).IgnoreError();
+    parts_.sync.read_soon();
+    pending_change change{.document = *result,
+                          .holders = {},
+                          .give_up_at = now + holder_timeout,
+                          .next_push = now + push_period,
+                          .done = done};
+    push(change);
+    pending_.push_back(std::move(change));
+    tick();
+}
+
+void config_desk::push(const pending_change& change)
+{
+    wire::peer_message message;
+    *message.mutable_config_push() = parts_.sync.make_push({change.document});
+    std::size_t n = 0;
+    for (const auto& it : parts_.members.members())
+    {
+        if (change.holders.count(it.first) != 0)
+            continue;
+        if (++n > max_direct_pushes)
+            break;
+        parts_.peers.send(it.second.peer_address, message);
+    }
+}
+
+bool config_desk::is_held_enough(const pending_change& change) const
+{
+    const auto live = parts_.members.live_members(parts_.time.now());
+    const bool has_other_zone =
+        std::any_of(live.begin(), live.end(),
+                    [this](const member* it) { return it->zone != zone_; });
+    bool held_elsewhere = false;
+    for (const auto& node : change.holders)
+    {
+        const auto* it = parts_.members.find(node);
+        held_elsewhere |= it != nullptr && it->zone != zone_;
+    }
+    return change.holders.size() >= std::min(wanted_holders, live.size()) &&
+           (held_elsewhere || !has_other_zone);
+}
+
+void config_desk::tick()
+{
+    const auto now = parts_.time.now();
+    std::vector<pending_change> finished;
+    for (auto it = pending_.begin(); it != pending_.end();)
+    {
+        if (is_held_enough(*it) || now >= it->give_up_at)
+        {
+            finished.push_back(std::move(*it));
+            it = pending_.erase(it);
+            continue;
+        }
+        if (now >= it->next_push)
+        {
+            it->next_push = now + push_period;
+            push(*it);
+        }
+        ++it;
+    }
+    for (const auto& it : finished)
+    {
+        parts_.counts.count(state_change::config_accepted);
+        it.done(change_outcome{.document = it.document,
+                               .holders = it.holders.size(),
+                               .accepted = is_held_enough(it)});
+    }
+    if (parts_.sync.wants_snapshots() && now >= next_snapshot_request_)
+    {
+        next_snapshot_request_ = now + push_period;
+        wire::peer_message message;
+        *message.mutable_config_pull() = parts_.sync.make_pull();
+        for (const auto* it : parts_.members.live_members(now))
+            parts_.peers.send(it->peer_address, message);
+    }
+}
+
+void config_desk::note_holder(const std::string& node, const std::string& name,
+                              std::int64_t version)
+{
+    for (auto& it : pending_)
+        if (it.document.name == name && version >= it.document.version)
+            it.holders.insert(node);
+}
+
+void config_desk::send_to(const std::string& node,
+                          const wire::peer_message& message)
+{
+    if (const auto* it = parts_.members.find(node))
+        parts_.peers.send(it->peer_address, message);
+}
+
+void config_desk::on_message(const wire::peer_message& message, bool settled)
+{
+    wire::peer_message answer;
+    switch (message.body_case())
+    {
+    case wire::peer_message::kConfigPush:
+        *answer.mutable_config_ack() =
+            parts_.sync.on_push(message.config_push());
+        send_to(message.from(), answer);
+        break;
+    case wire::peer_message::kConfigAck:
+        for (const auto& it : message.config_ack().documents())
+            note_holder(message.from(), it.name(), it.version());
+        tick();
+        break;
+    case wire::peer_message::kConfigPull:
+        *answer.mutable_config_snapshot() =
+            parts_.sync.on_pull(message.config_pull(), settled);
+        send_to(message.from(), answer);
+        break;
+    case wire::peer_message::kConfigSnapshot:
+        parts_.sync.on_snapshot(message.from(), message.config_snapshot());
+        break;
+    default:
+        break;
+    }
+}
+
+void config_desk::on_peer_config(const std::string& from, std::int64_t head,
+                                 std::uint64_t digest)
+{
+    if (auto pull = parts_.sync.on_gossip(head, digest))
+    {
+        wire::peer_message message;
+        *message.mutable_config_pull() = std::move(*pull);
+        send_to(from, message);
+    }
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/config_desk.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/config_document.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+class config_change;
+class config_registry;
+class config_sync;
+class config_writer;
+class counters;
+class membership;
+class peer_link;
+
+namespace wire
+{
+class peer_message;
+}
+
+/// Outcome of a change that the table service has committed.
+struct change_outcome
+{
+    config_document document;
+    /// Other nodes known to hold the document.
+    std::size_t holders = 0;
+    /// Enough nodes hold it to survive the loss of the store.
+    bool accepted = false;
+};
+
+/// Carries out changes of configuration and exchanges documents with peers.
+class config_desk
+{
+public:
+    using done_callback = std::function<void(absl::StatusOr<change_outcome>)>;
+
+    struct parts
+    {
+        const clock& time;
+        config_registry& registry;
+        config_sync& sync;
+        config_writer& writer;
+        membership& members;
+        peer_link& peers;
+        counters& counts;
+    };
+
+    config_desk(std::string zone, parts uses);
+
+    void execute(const std::shared_ptr<const config_change>& change,
+                 const std::string& change_id, done_callback done);
+    void on_message(const wire::peer_message& message, bool settled);
+    /// A peer's gossip says that its documents may differ.
+    void on_peer_config(const std::string& from, std::int64_t head,
+                        std::uint64_t digest);
+    /// To be called every 100 ms or so.
+    void tick();
+
+private:
+    /// Time for peers to acknowledge before a change is answered as committed.
+    static constexpr msec holder_timeout = 3000_ms;
+    static constexpr msec push_period = 500_ms;
+    static constexpr std::size_t wanted_holders = 2;
+    static constexpr std::size_t max_direct_pushes = 32;
+
+    struct pending_change
+    {
+        config_document document;
+        std::set<std::string> holders;
+        msec give_up_at = 0;
+        msec next_push = 0;
+        done_callback done;
+    };
+
+    void on_committed(const absl::StatusOr<config_document>& result,
+                      const done_callback& done);
+    void push(const pending_change& change);
+    bool is_held_enough(const pending_change& change) const;
+    void note_holder(const std::string& node, const std::string& name,
+                     std::int64_t version);
+    void send_to(const std::string& node, const wire::peer_message& message);
+
+    std::string zone_;
+    parts parts_;
+    std::vector<pending_change> pending_;
+    msec next_snapshot_request_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/engine_monitor.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/reservation_sweeper.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+class config_registry;
+class control_loop;
+class held_reservations;
+class http_client;
+class membership;
+class peer_link;
+class permit_desk;
+class shard_claims;
+class table_service;
+struct back_end;
+struct http_result;
+
+namespace wire
+{
+class peer_message;
+}
+
+struct engine_monitor_options
+{
+    std::string node;
+    std::int64_t incarnation = 0;
+    msec poll_period = 500;
+    msec sweep_period = 2000;
+    msec lease_ttl = 6000;
+    msec call_timeout = 1000;
+};
+
+/// Polls the engines of the shards that this node owns: load reports for the
+/// schedulers, reservation lists for the sweeper.
+class engine_monitor
+{
+public:
+    struct parts
+    {
+        control_loop& loop;
+        http_client& engines;
+        config_registry& registry;
+        membership& members;
+        shard_claims& claims;
+        permit_desk& desk;
+        table_service& table;
+        peer_link& peers;
+        held_reservations& held;
+    };
+
+    engine_monitor(engine_monitor_options options, parts uses);
+
+    /// Starts the calls that are due. To be called every 100 ms or so.
+    void tick();
+    void on_message(const wire::peer_message& message);
+    /// A newer heartbeat of a node was learnt.
+    void on_node_heard(const std::string& node, std::int64_t incarnation);
+    std::uint64_t swept() const { return swept_; }
+
+private:
+    struct engine_state
+    {
+        msec next_poll = 0;
+        msec next_sweep = 0;
+        bool polling = false;
+        bool sweeping = false;
+        std::string address;
+    };
+
+    void poll(const std::string& shard, const back_end& target);
+    void on_load(const std::string& shard, const std::string& name,
+                 const http_result& result);
+    void sweep(const back_end& target);
+    void on_list(const std::string& name, const http_result& result);
+    void perform(const sweep_actions& actions);
+    void ask_holder(const holder_question& question);
+    void release(const reservation_release& item);
+    void read_lease(const std::string& node);
+    void answer_query(const wire::peer_message& message);
+
+    engine_monitor_options options_;
+    parts parts_;
+    reservation_sweeper sweeper_;
+    std::map<std::string, engine_state> engines_;
+    std::uint64_t swept_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,489 @@
+#include "node/node.hpp"
+
+#include "galenapulley/fleet.hpp"
+#include "galenapulley/service.hpp"
+#include "node/answers.hpp"
+#include "node/completion_request.hpp"
+#include "node/completion_session.hpp"
+#include "node/plain_session.hpp"
+#include "peer.pb.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr msec fast_period = 10_ms;
+constexpr msec control_period = 100_ms;
+constexpr msec gossip_period = 1000_ms;
+constexpr msec vm_list_period = 5000_ms;
+constexpr msec vm_list_timeout = 2000_ms;
+constexpr msec settled_after = 10'000_ms;
+constexpr msec release_timeout = 3000_ms;
+
+std::uint16_t port_of(const std::string& address)
+{
+    return static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+std::string host_of(const std::string& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+} // namespace
+
+node::node(node_settings settings)
+    : settings_(std::move(settings))
+    , incarnation_(wall_time())
+    , loop_(clock_)
+    , control_counts_(counters_.add("galenapulley_control_total",
+                                    "Control events of this node.", "event",
+                                    {"view_reset", "peer_message"}))
+    , latency_({"short", "medium", "long", "huge"})
+    , table_(platform_client_, settings_.platform,
+             [this](std::function<void()> fn) { loop_.post(std::move(fn)); })
+    , vms_(platform_client_, settings_.platform,
+           [this](std::function<void()> fn) { loop_.post(std::move(fn)); })
+    , sync_(table_, registry_, clock_,
+            {.seed = static_cast<std::uint64_t>(incarnation_)})
+    , writer_(table_, clock_,
+              {.seed = static_cast<std::uint64_t>(incarnation_) + 1})
+    , members_(make_membership_options())
+    , freshness_({.max_age = settings_.view_max_age})
+    , lease_(
+          clock_, table_, make_lease_settings(),
+          {.on_conflict = [this] { counters_.count(state_change::lease_lost); },
+           .on_held = [] { spdlog::info("lease held"); },
+           .on_replaced =
+               [this]
+           {
+               spdlog::error("a newer process runs as this node; stopping");
+               begin_stop();
+           }})
+    , claims_(
+          clock_, table_, lease_,
+          {.on_gained = [this](const owned_shard& it) { on_shard_gained(it); },
+           .on_lost = [this](const std::string& shard, std::int64_t epoch)
+           { on_shard_lost(shard, epoch); },
+           .on_lapsed =
+               [this](const std::string& shard)
+           {
+               spdlog::warn("shard {}: lease lapsed, half allowance", shard);
+               counters_.count(state_change::shard_lapsed);
+               desk_.on_allowance_changed(shard);
+           },
+           .on_restored =
+               [this](const owned_shard& it)
+           {
+               spdlog::info("shard {}: allowance restored", it.shard);
+               counters_.count(state_change::shard_restored);
+               desk_.on_allowance_changed(it.shard);
+           }},
+          [this](const std::string& machine)
+          { return vm_list_read_ && vm_machines_.count(machine) == 0; })
+    , peers_(loop_,
+             {.address = settings_.peer,
+              .node = settings_.node,
+              .incarnation = incarnation_},
+             [this](const wire::peer_message& message)
+             { on_peer_message(message); })
+    , desk_({.node = settings_.node,
+             .incarnation = incarnation_,
+             .zone = settings_.zone,
+             .seed = static_cast<std::uint64_t>(incarnation_) + 2},
+            {.time = clock_,
+             .registry = registry_,
+             .members = members_,
+             .claims = claims_,
+             .freshness = freshness_,
+             .strikes = strikes_,
+             .peers = peers_})
+    , ledger_(clock_, table_,
+              {.node = settings_.node, .incarnation = incarnation_},
+              [this](const std::string& id, std::int64_t incarnation)
+              {
+                  if (id == settings_.node)
+                      return incarnation == incarnation_;
+                  const auto* it = members_.find(id);
+                  return it != nullptr && it->incarnation == incarnation &&
+                         !members_.is_suspected(*it, clock_.now());
+              })
+    , config_(settings_.zone, {.time = clock_,
+                               .registry = registry_,
+                               .sync = sync_,
+                               .writer = writer_,
+                               .members = members_,
+                               .peers = peers_,
+                               .counts = counters_})
+    , monitor_({.node = settings_.node,
+                .incarnation = incarnation_,
+                .poll_period = settings_.engine_poll,
+                .lease_ttl = settings_.lease_ttl},
+               {.loop = loop_,
+                .engines = engine_client_,
+                .registry = registry_,
+                .members = members_,
+                .claims = claims_,
+                .desk = desk_,
+                .table = table_,
+                .peers = peers_,
+                .held = held_})
+    , orders_(loop_, engine_client_, table_)
+    , admin_({.settings = settings_,
+              .registry = registry_,
+              .config = config_,
+              .orders = orders_,
+              .counts = counters_,
+              .status =
+                  [this]
+              {
+                  return status_json();
+              }})
+    , parts_{.node = settings_.node,
+             .incarnation = incarnation_,
+             .time = clock_,
+             .loop = loop_,
+             .engines = engine_client_,
+             .desk = desk_,
+             .registry = registry_,
+             .freshness = freshness_,
+             .counts = counters_,
+             .latencies = latency_,
+             .retries = retries_,
+             .ledger = ledger_,
+             .held = held_,
+             .must_drop_segments =
+                 [this]
+             {
+                 return must_drop_segments();
+             }}
+    , front_(loop_, counters_, *this)
+{
+    connect_modules();
+    start_timers();
+}
+
+node::~node()
+{
+    // The server's threads post to the loop, so it goes first.
+    server_.reset();
+}
+
+membership_options node::make_membership_options() const
+{
+    return {.node = settings_.node,
+            .zone = settings_.zone,
+            .peer_address = settings_.peer,
+            .listen_address = settings_.listen,
+            .incarnation = incarnation_,
+            .seeds = settings_.seeds,
+            .seed = static_cast<std::uint64_t>(incarnation_) + 3};
+}
+
+node_lease::settings node::make_lease_settings() const
+{
+    return {.node = settings_.node,
+            .incarnation = incarnation_,
+            .zone = settings_.zone,
+            .peer_address = settings_.peer,
+            .listen_address = settings_.listen,
+            .machine = settings_.machine,
+            .terms = {.ttl = settings_.lease_ttl,
+                      .renew_interval = settings_.lease_renew}};
+}
+
+void node::connect_modules()
+{
+    registry_.on_change([this](const config_document& it) { on_document(it); });
+    sync_.on_refusal(
+        [](const config_document& it, const absl::Status& status)
+        {
+            spdlog::error("{} version {} does not parse: {}", it.name,
+                          it.version, std::string(status.message()));
+        });
+    members_.set_fill([this](wire::gossip& message, std::size_t max_strikes)
+                      { fill_gossip(message, max_strikes); });
+    server_ = std::make_unique<http_server>(
+        http_server_options{.address = host_of(settings_.listen),
+                            .port = port_of(settings_.listen),
+                            .workers = static_cast<int>(settings_.workers)},
+        [this](http_request request,
+               const std::shared_ptr<http_exchange>& exchange)
+        { front_.handle(std::move(request), exchange); });
+}
+
+void node::start_timers()
+{
+    loop_.call_every(fast_period, [this] { run_fast_tick(); });
+    loop_.call_every(control_period, [this] { run_control_tick(); });
+    loop_.call_every(gossip_period, [this] { run_gossip_tick(); });
+    loop_.call_every(vm_list_period, [this] { read_vm_list(); });
+    loop_.post(
+        [this]
+        {
+            read_vm_list();
+            run_gossip_tick();
+        });
+}
+
+void node::run()
+{
+    server_->start();
+    spdlog::info("node {} serves on {}, zone {}", settings_.node,
+                 settings_.listen, settings_.zone);
+    loop_.run();
+    spdlog::info("node {} stopped", settings_.node);
+}
+
+void node::run_fast_tick()
+{
+    desk_.tick();
+    ledger_.tick();
+}
+
+void node::run_control_tick()
+{
+    const auto now = clock_.now();
+    lease_.tick();
+    claims_.tick();
+    sync_.set_known_peers(members_.known_peers());
+    sync_.tick();
+    if (const auto read = sync_.last_read())
+        freshness_.note_own_read(*read);
+    writer_.tick();
+    config_.tick();
+    monitor_.tick();
+    const bool fresh = freshness_.is_fresh(now);
+    if (fresh != was_fresh_)
+    {
+        was_fresh_ = fresh;
+        if (fresh)
+            spdlog::info("view is fresh");
+        else
+            spdlog::warn("view is stale: no new work");
+    }
+    check_stopped();
+}
+
+void node::run_gossip_tick()
+{
+    const auto now = clock_.now();
+    const auto window = settings_.view_max_age;
+    const auto resets = freshness_.resets();
+    freshness_.tick(now,
+                    {.known_peers = members_.known_peers(),
+                     .known_zones = members_.known_zones().size(),
+                     .heard_peers = members_.heard_peers(window, now),
+                     .heard_zones = members_.heard_zones(window, now).size()});
+    if (freshness_.resets() != resets)
+    {
+        control_counts_.increment(0);
+        sync_.read_soon();
+    }
+    std::vector<known_node> nodes;
+    for (const auto* it : members_.live_members(now))
+        nodes.push_back({.node = it->node, .zone = it->zone});
+    nodes.push_back(
+        {.node = settings_.node, .zone = settings_.zone, .leaving = stopping_});
+    claims_.set_nodes(nodes);
+    for (const auto& it : members_.tick(now))
+    {
+        wire::peer_message message;
+        *message.mutable_gossip() = *it.message;
+        peers_.send(it.peer_address, std::move(message));
+    }
+}
+
+void node::read_vm_list()
+{
+    vms_.list(vm_list_timeout,
+              [this](const absl::StatusOr<std::vector<vm_entry>>& list)
+              {
+                  if (!list.ok())
+                      return;
+                  vm_list_read_ = true;
+                  vm_machines_.clear();
+                  std::set<std::string> leaving;
+                  for (const auto& it : *list)
+                  {
+                      vm_machines_.insert(it.machine);
+                      if (it.leaving)
+                          leaving.insert(it.machine);
+                  }
+                  if (leaving != leaving_machines_)
+                  {
+                      leaving_machines_ = std::move(leaving);
+                      desk_.on_fleet_changed(leaving_machines_);
+                  }
+              });
+}
+
+void node::on_peer_message(const wire::peer_message& message)
+{
+    control_counts_.increment(1);
+    note_incarnation(message.from(), message.incarnation());
+    monitor_.on_node_heard(message.from(), message.incarnation());
+    if (message.has_gossip())
+    {
+        on_gossip(message);
+        return;
+    }
+    config_.on_message(message, is_settled());
+    monitor_.on_message(message);
+    desk_.on_message(message);
+}
+
+void node::on_gossip(const wire::peer_message& message)
+{
+    const auto now = clock_.now();
+    const auto& body = message.gossip();
+    std::set<std::string> changed;
+    for (const auto& it : body.shard_owners())
+    {
+        claims_.learn_owner(it.shard(),
+                            {.node = it.node(), .epoch = it.epoch()});
+        if (members_.note_shard_owner(
+                {.shard = it.shard(), .node = it.node(), .epoch = it.epoch()}))
+            changed.insert(it.shard());
+    }
+    const auto reply = members_.on_gossip(message.from(), body, now);
+    for (const auto& it : body.members())
+    {
+        const auto* known = members_.find(it.node());
+        if (known == nullptr || known->newer_at != now)
+            continue;
+        note_incarnation(known->node, known->incarnation);
+        monitor_.on_node_heard(known->node, known->incarnation);
+    }
+    if (const auto proven = members_.proven_time(body))
+        freshness_.note_peer_age(*proven, body.store_read_age_ms());
+    for (const auto& it : body.strikes())
+        strikes_.add({.fingerprint = it.fingerprint(),
+                      .crash_id = it.crash_id(),
+                      .at = now - it.age_ms()},
+                     now);
+    for (const auto& shard : changed)
+        desk_.on_owner_changed(shard);
+    config_.on_peer_config(message.from(), body.config_head(),
+                           body.config_digest());
+    const auto* sender = members_.find(message.from());
+    if (reply && sender != nullptr)
+    {
+        wire::peer_message answer;
+        *answer.mutable_gossip() = *reply;
+        peers_.send(sender->peer_address, std::move(answer));
+    }
+}
+
+void node::fill_gossip(wire::gossip& message, std::size_t max_strikes) const
+{
+    const auto now = clock_.now();
+    message.set_config_head(sync_.head());
+    message.set_config_digest(registry_.digest());
+    message.set_store_read_age_ms(freshness_.store_read_age(now));
+    message.set_settled(is_settled());
+    for (const auto& it : strikes_.recent(max_strikes, now))
+    {
+        auto& entry = *message.add_strikes();
+        entry.set_fingerprint(it.fingerprint);
+        entry.set_crash_id(it.crash_id);
+        entry.set_age_ms(now - it.at);
+    }
+}
+
+void node::note_incarnation(const std::string& peer, std::int64_t incarnation)
+{
+    auto& known = incarnations_[peer];
+    if (incarnation <= known)
+        return;
+    if (known != 0)
+        desk_.on_node_restarted(peer, incarnation);
+    known = incarnation;
+}
+
+void node::on_document(const config_document& document)
+{
+    spdlog::info("{} version {} in force", document.name, document.version);
+    counters_.count(state_change::config_applied);
+    if (document.name == fleet_row)
+    {
+        desk_.on_fleet_changed(leaving_machines_);
+        return;
+    }
+    std::vector<std::string> shards;
+    for (const auto& it : registry_.services())
+        for (auto& shard : it->shards())
+            shards.push_back(std::move(shard));
+    claims_.set_shards(shards);
+    desk_.on_services_changed();
+}
+
+void node::on_shard_gained(const owned_shard& shard)
+{
+    spdlog::info("shard {}: gained, epoch {}", shard.shard, shard.epoch);
+    counters_.count(state_change::shard_gained);
+    members_.note_shard_owner(
+        {.shard = shard.shard, .node = settings_.node, .epoch = shard.epoch});
+    desk_.on_shard_gained(shard);
+}
+
+void node::on_shard_lost(const std::string& shard, std::int64_t epoch)
+{
+    spdlog::info("shard {}: lost, epoch {}", shard, epoch);
+    counters_.count(state_change::shard_lost);
+    desk_.on_shard_lost(shard);
+}
+
+bool node::must_drop_segments() const
+{
+    const auto now = clock_.now();
+    return now - lease_.held_until() > 2 * settings_.lease_ttl &&
+           !freshness_.is_fresh(now);
+}
+
+bool node::is_settled() const
+{
+    return freshness_.fresh_for(settled_after, clock_.now());
+}
+
+void node::request_stop()
+{
+    loop_.post([this] { begin_stop(); });
+}
+
+void node::begin_stop()
+{
+    if (std::exchange(stopping_, true))
+        return;
+    spdlog::info("stopping: {} requests in progress", sessions());
+    stop_began_ = clock_.now();
+    members_.announce_leaving();
+    lease_.announce_leaving();
+    run_gossip_tick();
+    claims_.release_all(release_timeout, [] {});
+}
+
+std::size_t node::sessions() const
+{
+    return completions_.size() + plains_.size();
+}
+
+void node::check_stopped()
+{
+    const bool drained = stopping_ && sessions() == 0 &&
+                         clock_.now() - stop_began_ > settings_.drain;
+    if (!drained || std::exchange(released_, true))
+        return;
+    lease_.release([this] { loop_.stop(); });
+    // The store may be away; the lease then lapses by itself.
+    loop_.call_after(release_timeout, [this] { loop_.stop(); });
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/permit_desk.hpp
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "galenapulley/permit.hpp"
+#include "galenapulley/shard_picker.hpp"
+#include "galenapulley/shard_scheduler.hpp"
+#include "galenapulley/strike_book.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenapulley
+{
+
+class clock;
+class config_registry;
+class membership;
+class peer_link;
+class shard_claims;
+class view_freshness;
+struct owned_shard;
+struct service;
+
+namespace wire
+{
+class peer_message;
+class permit_grant;
+class permit_refusal;
+class permit_register;
+class permit_release;
+class permit_request;
+} // namespace wire
+
+struct permit_desk_options
+{
+    std::string node;
+    std::int64_t incarnation = 0;
+    std::string zone;
+    /// An owner that has not answered in this time is passed over.
+    msec reply_timeout = 300;
+    /// The same for a queued request, whose owner sends keep-alives.
+    msec queue_silence = 1500;
+    msec keep_alive_period = 500;
+    /// A grant counts only if its owner was heard this recently.
+    msec grant_validity = 2000;
+    std::size_t max_shards = 3;
+    std::uint64_t seed = 1;
+};
+
+/// A granted permit.
+struct granted_permit
+{
+    std::uint64_t request = 0;
+    std::string shard;
+    std::vector<permit_share> shares;
+};
+
+/// Asks shard owners for permits, and answers for the shards of this node.
+class permit_desk
+{
+public:
+    using answer_callback = std::function<void(absl::StatusOr<granted_permit>)>;
+
+    /// What the desk works with; all of it outlives the desk.
+    struct parts
+    {
+        const clock& time;
+        config_registry& registry;
+        membership& members;
+        shard_claims& claims;
+        view_freshness& freshness;
+        strike_book& strikes;
+        peer_link& peers;
+    };
+
+    permit_desk(permit_desk_options options, parts uses);
+
+    /// Asks for a permit for one attempt at a service and returns the number
+    /// of the request. `done` runs once unless the request is cancelled; it
+    /// may run inside this call.
+    std::uint64_t ask(const std::shared_ptr<const service>& target,
+                      permit_query query, answer_callback done);
+    /// Withdraws a question, or returns a permit that was not used.
+    void cancel(std::uint64_t request);
+    /// Ends a granted permit.
+    void release(std::uint64_t request, const permit_result& result);
+
+    void on_message(const wire::peer_message& message);
+    /// To be called every 20 ms or so.
+    void tick();
+
+    // Changes of the control state.
+    void on_services_changed();
+    void on_fleet_changed(const std::set<std::string>& leaving_machines);
+    void on_shard_gained(const owned_shard& shard);
+    void on_shard_lost(const std::string& shard);
+    void on_allowance_changed(const std::string& shard);
+    void on_owner_changed(const std::string& shard);
+    void on_node_restarted(const std::string& node, std::int64_t incarnation);
+
+    /// Tells the owners of the service's shards about a crash.
+    void send_strike(const std::string& service_name, const strike& item);
+
+    /// Null if this node does not own the shard.
+    shard_scheduler* find_scheduler(const std::string& shard);
+    std::size_t waiting() const { return waiting_.size(); }
+    std::size_t granted() const { return granted_.size(); }
+
+private:
+    struct waiting_request
+    {
+        std::shared_ptr<const service> target;
+        permit_query query;
+        answer_callback done;
+        std::vector<std::string> tried;
+        std::string shard;
+        std::string owner;
+        msec heard_at = 0;
+        bool queued = false;
+        absl::Status refusal;
+    };
+
+    struct held_permit
+    {
+        std::string shard;
+        std::string customer;
+        std::vector<permit_share> shares;
+        msec deadline = 0;
+    };
+
+    using message_handler = void (permit_desk::*)(const wire::peer_message&);
+    struct handler_entry
+    {
+        int body = 0;
+        message_handler handle = nullptr;
+    };
+    static const std::vector<handler_entry>& handlers();
+
+    // Asking side.
+    void try_next(std::uint64_t request);
+    void send_question(std::uint64_t request, waiting_request& it);
+    void give_up(std::uint64_t request);
+    void take_grant(std::uint64_t request, const std::string& shard,
+                    std::vector<permit_share> shares);
+    void take_refusal(std::uint64_t request, const std::string& shard,
+                      error_kind kind);
+    void check_silence();
+    void handle_queued(const wire::peer_message& message);
+    void handle_grant(const wire::peer_message& message);
+    void handle_refusal(const wire::peer_message& message);
+    void handle_keep_alive(const wire::peer_message& message);
+    void send_release(const std::string& shard, const std::string& owner,
+                      std::uint64_t request, const permit_result& result);
+
+    // Owning side.
+    void handle_request(const wire::peer_message& message);
+    void handle_release(const wire::peer_message& message);
+    void handle_register(const wire::peer_message& message);
+    void handle_strike(const wire::peer_message& message);
+    permit_decision decide(shard_scheduler& scheduler,
+                           const permit_query& query) const;
+    void deliver(const shard_scheduler& scheduler,
+                 const permit_decision& decision, std::size_t length_class);
+    void tick_scheduler(shard_scheduler& scheduler);
+    void send_keep_alives();
+    void configure(shard_scheduler& scheduler);
+
+    bool is_own(const permit_key& key) const;
+    std::string owner_of(const std::string& shard) const;
+    void send_to(const std::string& node, const wire::peer_message& message);
+    shard_picker& picker_for(const std::shared_ptr<const service>& target);
+    permit_key key_of(std::uint64_t request) const;
+
+    permit_desk_options options_;
+    parts parts_;
+    std::mt19937_64 random_;
+    std::uint64_t last_request_ = 0;
+    std::unordered_map<std::uint64_t, waiting_request> waiting_;
+    std::unordered_map<std::uint64_t, held_permit> granted_;
+    std::map<std::string, std::unique_ptr<shard_scheduler>> schedulers_;
+    std::map<std::string, shard_picker> pickers_;
+    std::set<std::string> leaving_machines_;
+    msec next_keep_alive_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/plain_session.cpp
@@ -0,0 +1,370 @@
+#include "node/plain_session.hpp"
+
+#include "galenapulley/action_ledger.hpp"
+#include "galenapulley/config_registry.hpp"
+#include "galenapulley/counters.hpp"
+#include "galenapulley/fleet.hpp"
+#include "galenapulley/retry_budget.hpp"
+#include "galenapulley/service.hpp"
+#include "galenapulley/view_freshness.hpp"
+#include "node/answers.hpp"
+#include "node/completion_request.hpp"
+#include "node/control_loop.hpp"
+#include "node/http_client.hpp"
+#include "node/permit_desk.hpp"
+#include "node/session_parts.hpp"
+#include "node/token_hash.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+/// Longest time that a call waits for its record in the table service.
+constexpr msec ledger_timeout = 2000_ms;
+constexpr std::size_t max_key_bytes = 200;
+
+std::uint64_t hash_of(const std::string& text, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+} // namespace
+
+plain_session::plain_session(const session_parts& parts, std::uint64_t number,
+                             std::string service_name, std::string route_path,
+                             http_request request,
+                             std::shared_ptr<http_exchange> exchange,
+                             std::function<void()> ended)
+    : parts_(parts)
+    , number_(number)
+    , service_name_(std::move(service_name))
+    , path_(std::move(route_path))
+    , request_(std::move(request))
+    , exchange_(std::move(exchange))
+    , ended_(std::move(ended))
+{
+}
+
+msec plain_session::time_left() const
+{
+    return std::max<msec>(1, deadline_ - parts_.loop.now());
+}
+
+absl::Status plain_session::admit()
+{
+    service_ = parts_.registry.find_service(service_name_);
+    if (!service_)
+        return make_error(error_kind::unknown_service,
+                          "no service " + service_name_);
+    const auto* account = service_->find_customer_by_token(
+        token_hash(bearer_token(request_.header("authorization"))));
+    if (account == nullptr)
+        return make_error(error_kind::unauthorized,
+                          "the token belongs to no customer of service " +
+                              service_name_);
+    route_ = service_->find_route(request_.method, path_);
+    if (route_ == nullptr)
+        return make_error(error_kind::unknown_route,
+                          "service " + service_name_ + " has no route " +
+                              request_.method + " " + path_);
+    const auto deadline = parse_deadline(request_);
+    if (!deadline.ok())
+        return deadline.status();
+    deadline_ = parts_.loop.now() + route_->timeout;
+    if (*deadline)
+        deadline_ = std::min(deadline_, parts_.loop.now() + **deadline);
+    const auto& key = request_.header("idempotency-key");
+    if (!route_->idempotent && key.empty())
+        return make_error(error_kind::missing_idempotency_key,
+                          "Idempotency-Key: this route must not repeat, so "
+                          "the header is required");
+    if (key.size() > max_key_bytes)
+        return make_error(error_kind::bad_request,
+                          "Idempotency-Key: longer than 200 bytes");
+    key_ = {.service = service_name_,
+            .customer = account->name,
+            .idempotency_key = key};
+    return absl::OkStatus();
+}
+
+void plain_session::start()
+{
+    if (const auto status = admit(); !status.ok())
+    {
+        refuse(status);
+        return;
+    }
+    parts_.retries.on_request(parts_.loop.now());
+    exchange_->on_disconnect(
+        [weak = weak_from_this(), &loop = parts_.loop]
+        {
+            loop.post(
+                [weak]
+                {
+                    if (const auto self = weak.lock())
+                        self->on_disconnect();
+                });
+        });
+    if (route_->idempotent)
+        ask_permit();
+    else
+        begin_action();
+}
+
+void plain_session::begin_action()
+{
+    attempt_id_ = parts_.node + "." + std::to_string(parts_.incarnation) + "." +
+                  std::to_string(number_) + "." + std::to_string(attempts_);
+    action_request action;
+    action.key = key_;
+    action.body_hash = hash_of(request_.body, hash_of(path_, 0));
+    action.attempt_id = attempt_id_;
+    action.timeout = std::min(ledger_timeout, time_left());
+    parts_.ledger.begin(std::move(action),
+                        [self = shared_from_this()](const begin_result& result)
+                        { self->on_begun(result); });
+}
+
+void plain_session::on_begun(const begin_result& result)
+{
+    switch (result.state)
+    {
+    case begin_state::started:
+        action_started_ = true;
+        ask_permit();
+        break;
+    case begin_state::replay:
+    {
+        http_answer out{.status = result.answer.status,
+                        .content_type = result.answer.content_type,
+                        .body = result.answer.body};
+        out.headers["x-idempotent-replay"] =
+            result.answer.too_large ? "body-not-kept" : "true";
+        answer(std::move(out));
+        break;
+    }
+    case begin_state::refused:
+        refuse(result.error);
+        break;
+    }
+}
+
+void plain_session::ask_permit()
+{
+    if (!parts_.freshness.is_fresh(parts_.loop.now()))
+    {
+        refuse_unsent(make_error(error_kind::isolated,
+                                 "this node has no recent view of the fleet"));
+        return;
+    }
+    permit_query query;
+    query.customer = key_.customer;
+    query.deadline = deadline_;
+    query.excluded = excluded_;
+    query.is_retry = attempts_ > 0;
+    const auto number =
+        parts_.desk.ask(service_, std::move(query),
+                        [self = shared_from_this()](
+                            const absl::StatusOr<granted_permit>& permit)
+                        { self->on_permit(permit); });
+    if (!has_permit_ && !ended_already_)
+        permit_ = number;
+}
+
+void plain_session::on_permit(const absl::StatusOr<granted_permit>& permit)
+{
+    permit_ = 0;
+    if (!permit.ok())
+    {
+        refuse_unsent(permit.status());
+        return;
+    }
+    permit_ = permit->request;
+    has_permit_ = true;
+    back_end_ = permit->shares.front().back_end;
+    const auto now = parts_.loop.now();
+    const auto* target = service_->find_back_end(back_end_);
+    const bool usable = target != nullptr && now < deadline_ &&
+                        parts_.freshness.is_fresh(now) &&
+                        parts_.registry.current_fleet()->admits(*target);
+    if (ended_already_ || !usable)
+    {
+        release_permit(permit_outcome::unused);
+        refuse_unsent(make_error(error_kind::no_back_end,
+                                 "the back end was withdrawn meanwhile"));
+        return;
+    }
+    ++attempts_;
+    send();
+}
+
+void plain_session::send()
+{
+    http_call call;
+    call.method = request_.method;
+    call.url = "http://" + service_->find_back_end(back_end_)->address + path_;
+    if (!request_.query.empty())
+        call.url += "?" + request_.query;
+    call.body = request_.body;
+    for (const auto* name : {"content-type", "idempotency-key", "accept"})
+        if (!request_.header(name).empty())
+            call.headers[name] = request_.header(name);
+    call.headers["x-attempt-id"] = attempt_id_;
+    call.timeout = time_left();
+    transfer_ = parts_.engines.start(
+        std::move(call),
+        [self = shared_from_this()](http_result result)
+        {
+            self->parts_.loop.post([self, result = std::move(result)]
+                                   { self->on_done(result); });
+        });
+}
+
+void plain_session::on_done(const http_result& result)
+{
+    transfer_ = 0;
+    if (ended_already_ && route_->idempotent)
+        return;
+    if (result.error == transfer_error::not_connected)
+    {
+        on_not_sent();
+        return;
+    }
+    if (result.error != transfer_error::none)
+    {
+        on_outcome_unknown(result);
+        return;
+    }
+    release_permit(permit_outcome::completed);
+    const auto type = result.headers.find("content-type");
+    const std::string content_type = type == result.headers.end()
+                                         ? "application/octet-stream"
+                                         : type->second;
+    if (!route_->idempotent)
+        parts_.ledger.finish(key_, attempt_id_,
+                             {.status = result.status,
+                              .content_type = content_type,
+                              .body = result.body});
+    answer({.status = result.status,
+            .content_type = content_type,
+            .body = result.body});
+}
+
+void plain_session::on_not_sent()
+{
+    excluded_.push_back(back_end_);
+    parts_.counts.count(retry_reason::connect_failed);
+    release_permit(permit_outcome::failed);
+    if (ended_already_ ||
+        !parts_.retries.take_retry(attempts_, parts_.loop.now()))
+    {
+        refuse_unsent(make_error(error_kind::back_end_failed,
+                                 "no back end could be reached"));
+        return;
+    }
+    // The row still says started under this attempt, and nothing was sent, so
+    // the same attempt may go to another back end.
+    ask_permit();
+}
+
+void plain_session::on_outcome_unknown(const http_result& result)
+{
+    excluded_.push_back(back_end_);
+    handed_over_ = true;
+    release_permit(permit_outcome::failed);
+    const bool timed_out = result.error == transfer_error::timed_out;
+    if (!route_->idempotent)
+    {
+        refuse(make_error(error_kind::outcome_unknown,
+                          "the back end did not answer; the call may have run "
+                          "and will not be repeated"));
+        return;
+    }
+    parts_.counts.count(retry_reason::back_end_failed);
+    if (!timed_out && parts_.loop.now() < deadline_ &&
+        parts_.retries.take_retry(attempts_, parts_.loop.now()))
+    {
+        ask_permit();
+        return;
+    }
+    refuse(make_error(timed_out ? error_kind::deadline_exceeded
+                                : error_kind::back_end_failed,
+                      "the back end did not answer"));
+}
+
+void plain_session::refuse_unsent(const absl::Status& status)
+{
+    const auto ran =
+        handed_over_ ? execution::may_have_run : execution::not_run;
+    if (action_started_)
+    {
+        action_started_ = false;
+        parts_.ledger.mark_not_run(key_, attempt_id_, ledger_timeout);
+    }
+    refuse(status, ran);
+}
+
+void plain_session::answer(http_answer out)
+{
+    if (!ended_already_)
+        exchange_->respond(std::move(out));
+    end();
+}
+
+void plain_session::refuse(const absl::Status& status,
+                           std::optional<execution> ran)
+{
+    if (!ended_already_)
+    {
+        parts_.counts.count(kind_of(status));
+        release_permit(permit_outcome::failed);
+        exchange_->respond(error_answer_for(status, ran));
+    }
+    end();
+}
+
+void plain_session::release_permit(permit_outcome outcome)
+{
+    if (permit_ == 0)
+        return;
+    const auto permit = std::exchange(permit_, 0);
+    if (!std::exchange(has_permit_, false))
+    {
+        parts_.desk.cancel(permit);
+        return;
+    }
+    permit_result result{.outcome = outcome};
+    if (outcome == permit_outcome::failed && !excluded_.empty())
+        result.failed_back_end = excluded_.back();
+    parts_.counts.count(outcome);
+    parts_.desk.release(permit, result);
+}
+
+void plain_session::on_disconnect()
+{
+    // A non-idempotent call goes on, so that its answer gets recorded.
+    if (ended_already_ || !route_->idempotent)
+        return;
+    parts_.counts.count(error_kind::cancelled);
+    if (transfer_ != 0)
+        parts_.engines.cancel(transfer_);
+    release_permit(permit_outcome::cancelled);
+    end();
+}
+
+void plain_session::end()
+{
+    if (std::exchange(ended_already_, true))
+        return;
+    if (const auto ended = std::exchange(ended_, nullptr))
+        ended();
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/request_front.cpp
@@ -0,0 +1,100 @@
+#include "node/request_front.hpp"
+
+#include "galenapulley/counters.hpp"
+#include "galenapulley/error_kind.hpp"
+#include "node/answers.hpp"
+#include "node/completion_request.hpp"
+#include "node/control_loop.hpp"
+#include "node/node.hpp"
+
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr std::string_view services_path = "/services/";
+constexpr std::string_view completions_path = "/v1/completions";
+constexpr std::string_view call_path = "/call";
+
+/// Parts of /services/{service}{rest}.
+struct service_path
+{
+    std::string service;
+    std::string rest;
+};
+
+std::optional<service_path> split(const std::string& path)
+{
+    if (path.compare(0, services_path.size(), services_path) != 0)
+        return std::nullopt;
+    const auto end = path.find('/', services_path.size());
+    if (end == std::string::npos)
+        return std::nullopt;
+    return service_path{.service = path.substr(services_path.size(),
+                                               end - services_path.size()),
+                        .rest = path.substr(end)};
+}
+
+bool starts_with(const std::string& text, std::string_view prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+request_front::request_front(control_loop& loop, counters& counts, node& target)
+    : loop_(loop), counts_(counts), node_(target)
+{
+}
+
+void request_front::handle(http_request request,
+                           const std::shared_ptr<http_exchange>& exchange)
+{
+    if (request.path == "/healthz")
+    {
+        exchange->respond(json_answer("{\"state\":\"ok\"}"));
+        return;
+    }
+    const auto target = split(request.path);
+    if (target && target->rest == completions_path && request.method == "POST")
+    {
+        take_completion(target->service, request, exchange);
+        return;
+    }
+    if (target && starts_with(target->rest, call_path) &&
+        target->rest.size() > call_path.size() &&
+        target->rest[call_path.size()] == '/')
+    {
+        loop_.post(
+            [this, exchange, service = target->service,
+             path = target->rest.substr(call_path.size()),
+             request = std::move(request)]() mutable {
+                node_.begin_plain(service, path, std::move(request), exchange);
+            });
+        return;
+    }
+    loop_.post([this, exchange, request = std::move(request)]
+               { node_.answer_other(request, exchange); });
+}
+
+void request_front::take_completion(
+    const std::string& service, const http_request& request,
+    const std::shared_ptr<http_exchange>& exchange)
+{
+    auto parsed = parse_completion_request(service, request);
+    if (!parsed.ok())
+    {
+        counts_.count(kind_of(parsed.status()));
+        exchange->respond(error_answer_for(parsed.status()));
+        return;
+    }
+    loop_.post([this, exchange, parsed = std::move(*parsed)]() mutable
+               { node_.begin_completion(std::move(parsed), exchange); });
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/request_front.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "node/http_server.hpp"
+
+#include <memory>
+#include <string>
+
+namespace galenapulley
+{
+
+class control_loop;
+class counters;
+class node;
+
+/// Entry point of callers' requests. Parses on the worker thread, and hands
+/// what is left to the control thread.
+class request_front
+{
+public:
+    request_front(control_loop& loop, counters& counts, node& target);
+
+    void handle(http_request request,
+                const std::shared_ptr<http_exchange>& exchange);
+
+private:
+    void take_completion(const std::string& service,
+                         const http_request& request,
+                         const std::shared_ptr<http_exchange>& exchange);
+
+    control_loop& loop_;
+    counters& counts_;
+    node& node_;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/segment_run.cpp
@@ -0,0 +1,175 @@
+#include "node/segment_run.hpp"
+
+#include "galenapulley/error_kind.hpp"
+#include "galenapulley/service.hpp"
+#include "node/control_loop.hpp"
+#include "node/held_reservations.hpp"
+#include "node/http_client.hpp"
+#include "node/session_parts.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t bytes_per_token = 5;
+constexpr msec reserve_timeout = 1000_ms;
+
+bool is_continuation(char c)
+{
+    return (static_cast<unsigned char>(c) & 0xC0U) == 0x80U;
+}
+
+} // namespace
+
+std::vector<std::string> split_prompt(std::string_view prompt,
+                                      const std::vector<std::uint32_t>& shares)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    for (std::size_t n = 0; n < shares.size(); ++n)
+    {
+        auto end = prompt.size();
+        if (n + 1 < shares.size())
+            end = std::min(end, begin + shares[n] * bytes_per_token);
+        // A character must not be split: each part is sent as JSON text.
+        while (end > begin && end < prompt.size() &&
+               is_continuation(prompt[end]))
+            --end;
+        parts.emplace_back(prompt.substr(begin, end - begin));
+        begin = end;
+    }
+    return parts;
+}
+
+segment_run::segment_run(const session_parts& parts, std::string id,
+                         std::vector<prompt_segment> segments, msec deadline)
+    : parts_(parts)
+    , id_(std::move(id))
+    , segments_(std::move(segments))
+    , deadline_(deadline)
+{
+}
+
+msec segment_run::time_left() const
+{
+    return std::max<msec>(1, deadline_ - parts_.loop.now());
+}
+
+void segment_run::call(std::size_t n, const char* path, const std::string& body,
+                       msec timeout,
+                       std::function<void(const http_result&)> done)
+{
+    http_call request;
+    request.method = "POST";
+    request.url = "http://" + segments_[n].address + path;
+    request.headers["Content-Type"] = "application/json";
+    request.body = body;
+    request.timeout = timeout;
+    transfer_ = parts_.engines.start(
+        std::move(request),
+        [self = shared_from_this(), done = std::move(done)](http_result result)
+        {
+            self->parts_.loop.post([self, done, result = std::move(result)]
+                                   { done(result); });
+        });
+}
+
+void segment_run::start(done_callback done)
+{
+    done_ = std::move(done);
+    parts_.held.add(id_);
+    for (std::size_t n = 0; n < segments_.size(); ++n)
+        reserve(n);
+}
+
+void segment_run::reserve(std::size_t n)
+{
+    const json body{{"id", id_},
+                    {"tokens", segments_[n].tokens},
+                    {"deadline_ms", time_left()}};
+    call(n, "/kv/reserve", body.dump(), std::min(reserve_timeout, time_left()),
+         [self = shared_from_this(), n](const http_result& result)
+         { self->on_reserved(n, result); });
+}
+
+void segment_run::on_reserved(std::size_t n, const http_result& result)
+{
+    if (released_ || !done_)
+        return;
+    if (result.error != transfer_error::none || result.status != 200)
+    {
+        fail(n, result, "reserve");
+        return;
+    }
+    if (++reserved_ == segments_.size())
+        prefill(0);
+}
+
+void segment_run::prefill(std::size_t n)
+{
+    if (parts_.must_drop_segments && parts_.must_drop_segments())
+    {
+        fail(n, {}, "hold");
+        return;
+    }
+    json body{{"id", id_}, {"prompt", segments_[n].text}};
+    if (n > 0)
+        body["import"] = {{"address", segments_[n - 1].address}, {"id", id_}};
+    call(n, "/kv/prefill", body.dump(), time_left(),
+         [self = shared_from_this(), n](const http_result& result)
+         { self->on_prefilled(n, result); });
+}
+
+void segment_run::on_prefilled(std::size_t n, const http_result& result)
+{
+    if (released_ || !done_)
+        return;
+    if (result.error != transfer_error::none || result.status != 200)
+    {
+        fail(n, result, "prefill");
+        return;
+    }
+    if (n + 1 < segments_.size())
+    {
+        prefill(n + 1);
+        return;
+    }
+    std::exchange(done_, nullptr)(absl::OkStatus(), {});
+}
+
+void segment_run::fail(std::size_t n, const http_result& result,
+                       const char* step)
+{
+    const auto status = make_error(
+        error_kind::back_end_failed,
+        std::string(step) + " on " + segments_[n].back_end + " failed" +
+            (result.status != 0
+                 ? " with status " + std::to_string(result.status)
+                 : std::string()));
+    std::exchange(done_, nullptr)(status, segments_[n].back_end);
+}
+
+void segment_run::release()
+{
+    if (std::exchange(released_, true))
+        return;
+    done_ = nullptr;
+    parts_.engines.cancel(transfer_);
+    for (std::size_t n = 0; n < segments_.size(); ++n)
+        call(n, "/kv/release", json{{"id", id_}}.dump(), reserve_timeout,
+             [](const http_result&) {});
+    // What a lost release leaves behind is found by the sweep of the shard's
+    // owner, which asks whether the id is still held.
+    parts_.held.remove(id_);
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/segment_run.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenapulley
+{
+
+struct http_result;
+struct session_parts;
+
+/// One engine's part of a prompt that spans several engines.
+struct prompt_segment
+{
+    std::string back_end;
+    std::string address;
+    std::string text;
+    /// KV memory to reserve, in tokens.
+    std::uint32_t tokens = 0;
+};
+
+/// Splits a prompt over engines with the given KV shares, in order. The last
+/// one gets the rest and the memory for the output.
+std::vector<std::string> split_prompt(std::string_view prompt,
+                                      const std::vector<std::uint32_t>& shares);
+
+/// Reserves memory on all engines of a request, prefills segment after segment
+/// and links them. Whoever starts it must call release().
+class segment_run : public std::enable_shared_from_this<segment_run>
+{
+public:
+    /// The name of the engine that failed comes with an error.
+    using done_callback =
+        std::function<void(absl::Status, std::string failed_back_end)>;
+
+    segment_run(const session_parts& parts, std::string id,
+                std::vector<prompt_segment> segments, msec deadline);
+
+    void start(done_callback done);
+    /// Gives all memory back; the run ends without a further callback.
+    void release();
+
+    const std::string& id() const { return id_; }
+    const std::vector<prompt_segment>& segments() const { return segments_; }
+
+private:
+    void reserve(std::size_t n);
+    void on_reserved(std::size_t n, const http_result& result);
+    void prefill(std::size_t n);
+    void on_prefilled(std::size_t n, const http_result& result);
+    void fail(std::size_t n, const http_result& result, const char* step);
+    void call(std::size_t n, const char* path, const std::string& body,
+              msec timeout, std::function<void(const http_result&)> done);
+    msec time_left() const;
+
+    const session_parts& parts_;
+    std::string id_;
+    std::vector<prompt_segment> segments_;
+    msec deadline_;
+    done_callback done_;
+    std::size_t reserved_ = 0;
+    bool released_ = false;
+    std::uint64_t transfer_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/session_parts.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace galenapulley
+{
+
+class action_ledger;
+class config_registry;
+class control_loop;
+class counters;
+class held_reservations;
+class http_client;
+class latency;
+class permit_desk;
+class retry_budget;
+class view_freshness;
+
+/// What a request works with while it is served; all of it outlives sessions.
+struct session_parts
+{
+    std::string node;
+    std::int64_t incarnation = 0;
+    const clock& time;
+    control_loop& loop;
+    http_client& engines;
+    permit_desk& desk;
+    config_registry& registry;
+    view_freshness& freshness;
+    counters& counts;
+    latency& latencies;
+    retry_budget& retries;
+    action_ledger& ledger;
+    held_reservations& held;
+    /// Whether this node has to stop segmented requests (design 3.4 d).
+    std::function<bool()> must_drop_segments;
+};
+
+} // namespace galenapulley
