Scheduler: unit tests of the scheduling modules

Cause: limits, queueing, warm-up and quarantine need guards before nodes use them. Change: one test file per class; properties compare with naive versions.

--- a/src/galenapulley/shard_scheduler.cpp
+++ b/src/galenapulley/shard_scheduler.cpp
@@ -391,7 +391,7 @@
         const auto [it, added] =
             index.try_emplace({key.node, key.incarnation}, nodes.size());
         if (added)
-            nodes.push_back({.node = key.node, .incarnation = key.incarnation});
+            nodes.push_back({key.node, key.incarnation, {}});
         nodes[it->second].requests.push_back(key.request);
     }
     return nodes;
--- /dev/null
+++ b/tests/unit/strike_book_test.cpp
@@ -0,0 +1,96 @@
+#include "galenapulley/strike_book.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+using namespace galenapulley;
+
+// Guards against a quarantine after one crash that is heard of several times.
+BOOST_AUTO_TEST_CASE(same_crash_counts_once)
+{
+    strike_book book;
+    BOOST_TEST(book.add({.fingerprint = 1, .crash_id = 10, .at = 0}, 0));
+    BOOST_TEST(!book.add({.fingerprint = 1, .crash_id = 10, .at = 5}, 5));
+    BOOST_TEST(!book.is_quarantined(1, 5));
+    BOOST_TEST(book.add({.fingerprint = 1, .crash_id = 11, .at = 6}, 6));
+    BOOST_TEST(book.is_quarantined(1, 6));
+    BOOST_TEST(!book.is_quarantined(2, 6));
+}
+
+// Guards against a quarantine that ends early or never, also when gossip
+// repeats old strikes.
+BOOST_AUTO_TEST_CASE(quarantine_ends_after_ten_minutes)
+{
+    strike_book book;
+    book.add({.fingerprint = 1, .crash_id = 10, .at = 0}, 0);
+    book.add({.fingerprint = 1, .crash_id = 11, .at = 300'000}, 300'000);
+    for (msec now = 300'000; now < 900'000; now += 1'000)
+    {
+        BOOST_TEST(book.is_quarantined(1, now));
+        for (const auto& it : book.recent(10, now))
+            book.add({.fingerprint = it.fingerprint,
+                      .crash_id = it.crash_id,
+                      .at = it.at + 50},
+                     now);
+    }
+    BOOST_TEST(!book.is_quarantined(1, 900'000));
+}
+
+// Guards against nodes that disagree because strikes reached them in another
+// order. The naive version keeps every strike.
+RC_BOOST_PROP(order_of_arrival_does_not_matter,
+              (const std::vector<std::pair<std::uint8_t, std::uint16_t>>& raw,
+               std::uint32_t seed))
+{
+    std::vector<strike> strikes;
+    std::set<std::uint64_t> used;
+    for (const auto& [n, at] : raw)
+    {
+        if (used.insert(at).second)
+            strikes.push_back(
+                {.fingerprint = n % 3U, .crash_id = at, .at = at * 20});
+    }
+    const msec now = 65'536 * 20;
+    strike_book book;
+    strike_book other;
+    for (const auto& it : strikes)
+        book.add(it, now);
+    std::mt19937 random(seed);
+    std::shuffle(strikes.begin(), strikes.end(), random);
+    for (const auto& it : strikes)
+        other.add(it, now);
+    for (std::uint64_t fingerprint = 0; fingerprint < 3; ++fingerprint)
+    {
+        std::vector<msec> times;
+        for (const auto& it : strikes)
+        {
+            if (it.fingerprint == fingerprint)
+                times.push_back(it.at);
+        }
+        std::sort(times.rbegin(), times.rend());
+        const bool expected =
+            times.size() > 1 &&
+            times[0] - times[1] < strike_book::quarantine_time &&
+            times[0] + strike_book::quarantine_time > now;
+        RC_ASSERT(book.is_quarantined(fingerprint, now) == expected);
+        RC_ASSERT(other.is_quarantined(fingerprint, now) == expected);
+    }
+}
+
+// Guards against unbounded memory, and against a caller that ends a quarantine
+// by crashing back ends with other prompts.
+BOOST_AUTO_TEST_CASE(size_is_bounded_and_quarantines_stay)
+{
+    strike_book book(100);
+    book.add({.fingerprint = 1, .crash_id = 1, .at = 0}, 0);
+    book.add({.fingerprint = 1, .crash_id = 2, .at = 0}, 0);
+    for (std::uint64_t n = 10; n < 1000; ++n)
+        book.add({.fingerprint = n, .crash_id = n, .at = 1}, 1);
+    BOOST_TEST(book.size() == 100U);
+    BOOST_TEST(book.is_quarantined(1, 1));
+    BOOST_TEST(book.recent(5, 1).size() == 5U);
+}
