peer_socket, http_table_service and vm_list_client

Cause: nodes need peer messages and the platform's services. Change: one ROUTER and a DEALER per peer that never blocks; table service and VM list over http_client. Commits never use a kept connection.

--- /dev/null
+++ b/src/node/http_table_service.cpp
@@ -0,0 +1,170 @@
+#include "node/http_table_service.hpp"
+
+#include "galenapulley/error_kind.hpp"
+#include "node/http_client.hpp"
+#include "node/platform_call.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+table_row row_from(const json& source)
+{
+    return {.key = source.at("key").get<std::string>(),
+            .version = source.at("version").get<std::int64_t>(),
+            .value = source.at("value").get<std::string>()};
+}
+
+absl::StatusOr<table_row> read_result(const std::string& key,
+                                      const std::string& url,
+                                      const http_result& result)
+{
+    if (result.error != transfer_error::none ||
+        (result.status != 200 && result.status != 404))
+        return platform_failure(url, result);
+    if (result.status == 404)
+        return table_row{.key = key, .version = 0, .value = {}};
+    try
+    {
+        return row_from(json::parse(result.body));
+    }
+    catch (const json::exception& error)
+    {
+        return make_error(error_kind::store_unavailable, error.what());
+    }
+}
+
+/// The service may answer with a bare array or under the name `rows`.
+absl::StatusOr<std::vector<table_row>> scan_result(const std::string& url,
+                                                   const http_result& result)
+{
+    if (result.error != transfer_error::none || result.status != 200)
+        return platform_failure(url, result);
+    try
+    {
+        const auto answer = json::parse(result.body);
+        std::vector<table_row> rows;
+        for (const auto& it : answer.is_object() ? answer.at("rows") : answer)
+            rows.push_back(row_from(it));
+        return rows;
+    }
+    catch (const json::exception& error)
+    {
+        return make_error(error_kind::store_unavailable, error.what());
+    }
+}
+
+std::string commit_body(const table_transaction& transaction)
+{
+    json body{{"conditions", json::array()}, {"writes", json::array()}};
+    for (const auto& it : transaction.conditions)
+        body["conditions"].push_back(
+            {{"key", it.key}, {"version", it.version}});
+    for (const auto& it : transaction.writes)
+        body["writes"].push_back(
+            {{"key", it.key},
+             {"value", it.value ? json(*it.value) : json(nullptr)}});
+    return body.dump();
+}
+
+commit_state state_of(const http_result& result)
+{
+    if (result.error == transfer_error::not_connected)
+        return commit_state::refused;
+    if (result.error != transfer_error::none)
+        return commit_state::unknown;
+    switch (result.status)
+    {
+    case 200:
+        return commit_state::committed;
+    case 409:
+        return commit_state::conflict;
+    case 429:
+        return commit_state::refused;
+    default:
+        return commit_state::unknown;
+    }
+}
+
+commit_result commit_answer(const http_result& result)
+{
+    commit_result answer;
+    answer.state = state_of(result);
+    try
+    {
+        if (answer.state == commit_state::conflict)
+            json::parse(result.body).at("conflict").get_to(answer.conflict);
+        else if (answer.state == commit_state::committed)
+            json::parse(result.body).at("versions").get_to(answer.versions);
+    }
+    catch (const json::exception&)
+    {
+        // An answer that can't be read leaves the outcome unknown.
+        answer.state = commit_state::unknown;
+    }
+    return answer;
+}
+
+} // namespace
+
+http_table_service::http_table_service(http_client& client,
+                                       const std::string& address,
+                                       post_function post)
+    : client_(client)
+    , base_url_("http://" + address + "/table/")
+    , post_(std::move(post))
+{
+}
+
+void http_table_service::read(const std::string& key, msec timeout,
+                              read_callback done)
+{
+    const auto url = base_url_ + "row?key=" + percent_encoded(key);
+    client_.start(
+        platform_read(url, timeout),
+        [post = post_, done = std::move(done), key,
+         url](const http_result& result) mutable
+        {
+            post([done = std::move(done), row = read_result(key, url, result)]
+                 { done(row); });
+        });
+}
+
+void http_table_service::scan(const std::string& prefix, msec timeout,
+                              scan_callback done)
+{
+    const auto url = base_url_ + "rows?prefix=" + percent_encoded(prefix);
+    client_.start(platform_read(url, timeout),
+                  [post = post_, done = std::move(done),
+                   url](const http_result& result) mutable
+                  {
+                      post([done = std::move(done),
+                            rows = scan_result(url, result)] { done(rows); });
+                  });
+}
+
+void http_table_service::commit(const table_transaction& transaction,
+                                msec timeout, commit_callback done)
+{
+    // Never on a kept connection: a commit must not be sent twice.
+    client_.start({.method = "POST",
+                   .url = base_url_ + "commit",
+                   .body = commit_body(transaction),
+                   .timeout = timeout},
+                  [post = post_,
+                   done = std::move(done)](const http_result& result) mutable
+                  {
+                      post([done = std::move(done),
+                            answer = commit_answer(result)] { done(answer); });
+                  });
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/peer_socket.cpp
@@ -0,0 +1,146 @@
+#include "node/peer_socket.hpp"
+
+#include "node/control_loop.hpp"
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr int reconnect_first_ms = 100;
+constexpr int reconnect_max_ms = 2000;
+/// A connection whose data stays unacknowledged this long is reopened.
+/// Otherwise TCP retries for minutes after a machine was lost.
+constexpr int unacknowledged_limit_ms = 6000;
+/// Twice our own limit, so that messages slightly too large are counted here.
+/// libzmq closes the connection on messages beyond it without notice.
+constexpr std::int64_t transport_message_limit =
+    2 * static_cast<std::int64_t>(peer_socket::max_message_bytes);
+/// Messages read per round, so that timers run under load.
+constexpr int receive_batch = 256;
+
+} // namespace
+
+peer_socket::peer_socket(control_loop& loop, peer_socket_options options,
+                         receive_callback receive)
+    : loop_(loop)
+    , options_(std::move(options))
+    , receive_(std::move(receive))
+    , router_(context_, zmq::socket_type::router)
+{
+    router_.set(zmq::sockopt::linger, 0);
+    router_.set(zmq::sockopt::maxmsgsize, transport_message_limit);
+    router_.bind("tcp://" + options_.address);
+    const auto endpoint = router_.get(zmq::sockopt::last_endpoint);
+    address_ = endpoint.substr(endpoint.rfind('/') + 1);
+    loop_.watch(router_.handle(), [this] { receive_all(); });
+    // Half the idle time bounds the error of the closing time.
+    idle_timer_ = loop_.call_every(options_.idle_close / 2,
+                                   [this] { close_idle_links(); });
+}
+
+peer_socket::~peer_socket()
+{
+    loop_.cancel(idle_timer_);
+    loop_.unwatch(router_.handle());
+}
+
+void peer_socket::send(const std::string& peer_address,
+                       wire::peer_message message)
+{
+    message.set_from(options_.node);
+    message.set_incarnation(options_.incarnation);
+    const auto bytes = message.ByteSizeLong();
+    auto* const target =
+        bytes <= max_message_bytes ? link_to(peer_address) : nullptr;
+    if (target == nullptr)
+    {
+        ++traffic_.messages_dropped;
+        return;
+    }
+    zmq::message_t frame(bytes);
+    message.SerializeToArray(frame.data(), static_cast<int>(bytes));
+    target->last_used = loop_.now();
+    if (!target->socket.send(frame, zmq::send_flags::dontwait))
+    {
+        ++traffic_.messages_dropped;
+        return;
+    }
+    ++traffic_.messages_sent;
+    traffic_.bytes_sent += bytes;
+}
+
+peer_socket::link* peer_socket::link_to(const std::string& peer_address)
+{
+    const auto it = links_.find(peer_address);
+    if (it != links_.end())
+        return &it->second;
+    try
+    {
+        zmq::socket_t socket(context_, zmq::socket_type::dealer);
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::sndhwm, options_.send_high_water_mark);
+        socket.set(zmq::sockopt::reconnect_ivl, reconnect_first_ms);
+        socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+        socket.set(zmq::sockopt::connect_timeout, reconnect_max_ms);
+        socket.set(zmq::sockopt::tcp_maxrt, unacknowledged_limit_ms);
+        socket.connect("tcp://" + peer_address);
+        return &links_
+                    .emplace(peer_address, link{std::move(socket), loop_.now()})
+                    .first->second;
+    }
+    catch (const zmq::error_t&)
+    {
+        return nullptr;
+    }
+}
+
+void peer_socket::receive_all()
+{
+    for (int n = 0; n < receive_batch; ++n)
+    {
+        zmq::message_t sender;
+        if (!router_.recv(sender, zmq::recv_flags::dontwait))
+            return;
+        zmq::message_t frame;
+        int frames = 0;
+        for (bool more = sender.more(); more; more = frame.more(), ++frames)
+            static_cast<void>(router_.recv(frame, zmq::recv_flags::none));
+        if (frames == 1)
+            receive_one(frame);
+        else
+            ++traffic_.messages_rejected;
+    }
+}
+
+void peer_socket::receive_one(const zmq::message_t& frame)
+{
+    wire::peer_message message;
+    const bool valid =
+        frame.size() <= max_message_bytes &&
+        message.ParseFromArray(frame.data(), static_cast<int>(frame.size())) &&
+        !message.from().empty() &&
+        message.body_case() != wire::peer_message::BODY_NOT_SET;
+    if (!valid)
+    {
+        ++traffic_.messages_rejected;
+        return;
+    }
+    ++traffic_.messages_received;
+    traffic_.bytes_received += frame.size();
+    receive_(std::move(message));
+}
+
+void peer_socket::close_idle_links()
+{
+    const auto limit = loop_.now() - options_.idle_close;
+    std::erase_if(links_, [limit](const auto& it)
+                  { return it.second.last_used <= limit; });
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/vm_list_client.cpp
@@ -0,0 +1,61 @@
+#include "node/vm_list_client.hpp"
+
+#include "galenapulley/error_kind.hpp"
+#include "node/http_client.hpp"
+#include "node/platform_call.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+absl::StatusOr<std::vector<vm_entry>> list_result(const std::string& url,
+                                                  const http_result& result)
+{
+    if (result.error != transfer_error::none || result.status != 200)
+        return platform_failure(url, result);
+    try
+    {
+        std::vector<vm_entry> machines;
+        for (const auto& it : json::parse(result.body))
+            machines.push_back(
+                {it.at("machine").get<std::string>(),
+                 it.at("state").get<std::string>() == "leaving"});
+        return machines;
+    }
+    catch (const json::exception& error)
+    {
+        return make_error(error_kind::store_unavailable, error.what());
+    }
+}
+
+} // namespace
+
+vm_list_client::vm_list_client(http_client& client, const std::string& address,
+                               post_function post)
+    : client_(client)
+    , url_("http://" + address + "/vms")
+    , post_(std::move(post))
+{
+}
+
+void vm_list_client::list(msec timeout, list_callback done)
+{
+    client_.start(
+        platform_read(url_, timeout),
+        [post = post_, done = std::move(done),
+         url = url_](const http_result& result) mutable
+        {
+            post([done = std::move(done), machines = list_result(url, result)]
+                 { done(machines); });
+        });
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/tests/unit/vm_list_client_test.cpp
@@ -0,0 +1,43 @@
+#include "galenapulley/error_kind.hpp"
+#include "node/http_client.hpp"
+#include "node/vm_list_client.hpp"
+
+#include "raw_sockets.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace galenapulley;
+
+// Guards against machines whose leaving state is lost, and against a failed
+// read that looks like an empty list.
+BOOST_AUTO_TEST_CASE(lists_machines)
+{
+    std::string text;
+    const raw::server platform(
+        [&text](const raw::socket& peer)
+        {
+            peer.receive_message();
+            peer.send(text);
+        });
+    http_client client;
+    vm_list_client list(client, "127.0.0.1:" + std::to_string(platform.port()),
+                        [](const std::function<void()>& fn) { fn(); });
+    const auto read = [&]
+    {
+        std::promise<absl::StatusOr<std::vector<vm_entry>>> promise;
+        list.list(500, [&promise](const auto& result)
+                  { promise.set_value(result); });
+        return promise.get_future().get();
+    };
+    text = raw::answer(R"([{"machine":"vm-1","state":"live"},)"
+                       R"({"machine":"vm-2","state":"leaving"}])");
+    const auto machines = read();
+    BOOST_TEST_REQUIRE(machines.ok());
+    BOOST_TEST(!machines->front().leaving);
+    BOOST_TEST(machines->back().machine == "vm-2");
+    BOOST_TEST(machines->back().leaving);
+    text = raw::answer("{}", "503 Unavailable");
+    BOOST_TEST((kind_of(read().status()) == error_kind::store_unavailable));
+}
