http_server: send headers, survive stop, lose no wake-up

Cause: the adapter was untested. Pistache 0.0.5 doesn't send raw headers, so answers had no Content-Type or Retry-After. Its PollableQueue empties the eventfd after it found the queue empty, so a task or an accepted connection pushed in between waits for the next one. Exchanges used the worker after stop(), which left connections open. Error answers of Pistache itself were queued under the bare descriptor until a later event. Change: typed headers; a task queue that clears its signal first; a 100 ms check of the accept queue; a flush after each event; weak references to the worker; connections closed with the worker; chunks over 64 KiB are split; exceptions of the handler become 500; backlog of 1,024.

--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -1,5 +1,6 @@
 #include "node/http_server.hpp"
 
+#include "galenapulley/error_kind.hpp"
 #include "node/worker_transport.hpp"
 
 #include <pistache/http.h>
@@ -10,7 +11,10 @@
 
 #include <algorithm>
 #include <cctype>
+#include <exception>
 #include <optional>
+#include <ostream>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
@@ -22,6 +26,9 @@
 namespace
 {
 
+/// Callers of a lost node reconnect to others all at once.
+constexpr int accept_backlog = 1024;
+
 std::string to_lower(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -64,15 +71,37 @@
     return request;
 }
 
+/// A header of an answer. Pistache 0.0.5 doesn't send those added as raw.
+class answer_header final : public Http::Header::Header
+{
+public:
+    answer_header(std::string name, std::string value)
+        : name_(std::move(name)), value_(std::move(value))
+    {
+    }
+
+    const char* name() const override { return name_.c_str(); }
+    void write(std::ostream& stream) const override { stream << value_; }
+    std::uint64_t hash() const override
+    {
+        return Http::Header::detail::hash(name());
+    }
+
+private:
+    std::string name_;
+    std::string value_;
+};
+
 /// State of one exchange; touched on the worker thread only.
 class pistache_exchange final
     : public http_exchange,
       public std::enable_shared_from_this<pistache_exchange>
 {
 public:
-    pistache_exchange(worker_transport* worker, Http::ResponseWriter writer,
+    pistache_exchange(std::weak_ptr<worker_transport> worker,
+                      Http::ResponseWriter writer,
                       std::function<void()> completed)
-        : worker_(worker)
+        : worker_(std::move(worker))
         , writer_(std::move(writer))
         , completed_(std::move(completed))
     {
@@ -81,13 +110,13 @@
     void respond(http_answer answer) override
     {
         run(
-            [this, answer = std::move(answer)]
+            [this, answer = std::move(answer)](worker_transport& worker)
             {
                 set_head(answer);
                 writer_->send(Http::Code(answer.status), answer.body);
                 // A queued write would go to the bare descriptor, which may
                 // belong to another caller by then.
-                worker_->flush();
+                worker.flush();
                 complete();
             });
     }
@@ -95,7 +124,7 @@
     void start_stream(http_answer head) override
     {
         run(
-            [this, head = std::move(head)]
+            [this, head = std::move(head)](worker_transport&)
             {
                 set_head(head);
                 stream_.emplace(
@@ -107,25 +136,23 @@
     void write(std::string chunk) override
     {
         run(
-            [this, chunk = std::move(chunk)]
+            [this, chunk = std::move(chunk)](worker_transport&)
             {
-                if (!stream_ || chunk.empty())
-                    return;
-                stream_->write(chunk.data(),
-                               static_cast<std::streamsize>(chunk.size()));
-                stream_->flush();
+                for (std::size_t n = 0; stream_ && n < chunk.size();
+                     n += max_chunk)
+                    write_part(std::string_view(chunk).substr(n, max_chunk));
             });
     }
 
     void finish_stream() override
     {
         run(
-            [this]
+            [this](worker_transport& worker)
             {
                 if (!stream_)
                     return;
                 stream_->ends();
-                worker_->flush();
+                worker.flush();
                 complete();
             });
     }
@@ -133,7 +160,7 @@
     void abort() override
     {
         run(
-            [this]
+            [this](worker_transport&)
             {
                 const auto peer = writer_->getPeer();
                 complete();
@@ -144,7 +171,10 @@
 
     void on_disconnect(std::function<void()> callback) override
     {
-        worker_->post(
+        const auto worker = worker_.lock();
+        if (!worker)
+            return;
+        worker->post(
             [self = shared_from_this(), callback = std::move(callback)]
             {
                 if (self->gone_)
@@ -171,22 +201,34 @@
     template <typename Task>
     void run(Task task)
     {
-        worker_->post(
-            [self = shared_from_this(), task = std::move(task)]
+        const auto worker = worker_.lock();
+        if (!worker)
+            return;
+        // The task runs inside the worker, so the reference stays valid.
+        worker->post(
+            [self = shared_from_this(), task = std::move(task),
+             target = worker.get()]
             {
                 // The peer may have left while the task was queued.
                 if (!self->writer_ || !self->writer_->getPeer())
                     return;
-                task();
+                task(*target);
             });
     }
 
+    void write_part(std::string_view part)
+    {
+        stream_->write(part.data(), static_cast<std::streamsize>(part.size()));
+        stream_->flush();
+    }
+
     void set_head(const http_answer& answer)
     {
-        writer_->headers().addRaw(
-            Http::Header::Raw("Content-Type", answer.content_type));
+        auto& headers = writer_->headers();
+        headers.add(std::make_shared<answer_header>("Content-Type",
+                                                    answer.content_type));
         for (const auto& it : answer.headers)
-            writer_->headers().addRaw(Http::Header::Raw(it.first, it.second));
+            headers.add(std::make_shared<answer_header>(it.first, it.second));
     }
 
     void complete()
@@ -198,7 +240,8 @@
             callback();
     }
 
-    worker_transport* worker_;
+    /// Expired once the server has stopped.
+    std::weak_ptr<worker_transport> worker_;
     std::optional<Http::ResponseWriter> writer_;
     std::optional<Http::ResponseStream> stream_;
     std::function<void()> completed_;
@@ -231,9 +274,21 @@
             return;
         }
         auto exchange = std::make_shared<pistache_exchange>(
-            worker, std::move(writer), [this, id] { exchanges_.erase(id); });
+            worker->weak_from_this(), std::move(writer),
+            [this, id] { exchanges_.erase(id); });
         exchanges_.emplace(id, exchange);
-        handler_(to_request(request), exchange);
+        // Pistache would answer an exception itself, beside the exchange.
+        try
+        {
+            handler_(to_request(request), exchange);
+        }
+        catch (const std::exception& error)
+        {
+            const auto status = make_error(error_kind::internal, error.what());
+            exchange->respond(
+                {.status = answer_for(error_kind::internal).http_status,
+                 .body = error_body(status)});
+        }
     }
 
     void onDisconnection(const std::shared_ptr<Tcp::Peer>& peer) override
@@ -301,7 +356,8 @@
         Address(options_.address, Port(options_.port)));
     Flags<Tcp::Options> flags(Tcp::Options::ReuseAddr);
     flags.setFlag(Tcp::Options::NoDelay);
-    listener_->init(static_cast<std::size_t>(options_.workers), flags);
+    listener_->init(static_cast<std::size_t>(options_.workers), flags, "",
+                    accept_backlog);
     listener_->setTransportFactory(
         [handler]
         {
--- a/src/node/http_server.hpp
+++ b/src/node/http_server.hpp
@@ -35,8 +35,8 @@
 {
     int status = 200;
     std::string content_type = "application/json";
-    std::string body;
-    std::map<std::string, std::string> headers;
+    std::string body{};
+    std::map<std::string, std::string> headers{};
 };
 
 /// One request in progress. All members may be called from any thread; they
--- a/src/node/worker_transport.cpp
+++ b/src/node/worker_transport.cpp
@@ -1,46 +1,94 @@
 #include "node/worker_transport.hpp"
 
+#include <pistache/peer.h>
 #include <pistache/tcp.h>
 
+#include <sys/eventfd.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <system_error>
 #include <utility>
-#include <vector>
 
 namespace galenapulley
 {
 
 using namespace Pistache;
 
+namespace
+{
+
+/// Longest time for which an accepted connection may wait unnoticed.
+constexpr long accept_check_ns = 100'000'000;
+
+int checked(int fd, const char* what)
+{
+    if (fd < 0)
+        throw std::system_error(errno, std::generic_category(), what);
+    return fd;
+}
+
+void drain(int fd)
+{
+    std::uint64_t count = 0;
+    static_cast<void>(::read(fd, &count, sizeof count));
+}
+
+} // namespace
+
 worker_transport::worker_transport(const std::shared_ptr<Tcp::Handler>& handler)
-    : Transport(handler), handler_(handler)
+    : Transport(handler)
+    , handler_(handler)
+    , task_event_(checked(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
+    , timer_(
+          checked(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC),
+                  "timerfd"))
+{
+}
+
+worker_transport::~worker_transport()
 {
+    // Pistache leaves open the connections that it still has when it stops.
+    for (const auto& peer : getAllPeer())
+        ::close(peer->fd());
+    ::close(task_event_);
+    ::close(timer_);
 }
 
 void worker_transport::post(std::function<void()> task)
 {
-    tasks_.push(std::move(task));
+    const std::lock_guard lock(mutex_);
+    tasks_.push_back(std::move(task));
+    // The worker takes all tasks at once, so only the first needs a wake-up.
+    if (tasks_.size() > 1)
+        return;
+    const std::uint64_t one = 1;
+    static_cast<void>(::write(task_event_, &one, sizeof one));
 }
 
 void worker_transport::registerPoller(Polling::Epoll& poller)
 {
     Transport::registerPoller(poller);
-    tasks_.bind(poller);
+    const Flags<Polling::NotifyOn> read(Polling::NotifyOn::Read);
+    poller.addFd(task_event_, read, Polling::Tag(task_event_));
+    const itimerspec period{{0, accept_check_ns}, {0, accept_check_ns}};
+    ::timerfd_settime(timer_, 0, &period, nullptr);
+    poller.addFd(timer_, read, Polling::Tag(timer_));
 }
 
 void worker_transport::onReady(const Aio::FdSet& fds)
 {
-    bool has_tasks = false;
-    std::vector<Polling::Event> others;
     for (const auto& entry : fds)
     {
-        if (entry.getTag() == tasks_.tag())
-            has_tasks = true;
+        if (entry.getTag() == Polling::Tag(task_event_))
+            run_tasks();
+        else if (entry.getTag() == Polling::Tag(timer_))
+            check_waiting_connections();
         else // Entry inherits Event privately; only this cast reaches it.
-            others.push_back((const Polling::Event&)entry);
+            handle((const Polling::Event&)entry);
     }
-    if (!others.empty())
-        Transport::onReady(Aio::FdSet(std::move(others)));
-    if (has_tasks)
-        run_tasks();
 }
 
 std::shared_ptr<Aio::Handler> worker_transport::clone() const
@@ -49,10 +97,39 @@
         std::static_pointer_cast<Tcp::Handler>(handler_->clone()));
 }
 
+void worker_transport::handle(Polling::Event event)
+{
+    // Nothing else is signalled from other threads before the first
+    // connection, so the first event is that of the accept queue.
+    if (!accept_event_)
+        accept_event_ = event;
+    Transport::onReady(Aio::FdSet({event}));
+    // Pistache queues its own error answers under the bare descriptor. Unless
+    // they leave before the next event, a new connection could get them.
+    flush();
+}
+
 void worker_transport::run_tasks()
 {
-    while (auto task = tasks_.popSafe())
-        (*task)();
+    // The signal is cleared first, so that a later post sets it again.
+    drain(task_event_);
+    std::vector<std::function<void()>> tasks;
+    {
+        const std::lock_guard lock(mutex_);
+        tasks.swap(tasks_);
+    }
+    for (auto& task : tasks)
+    {
+        task();
+        task = nullptr;
+    }
+}
+
+void worker_transport::check_waiting_connections()
+{
+    drain(timer_);
+    if (accept_event_)
+        Transport::onReady(Aio::FdSet({*accept_event_}));
 }
 
 } // namespace galenapulley
--- a/src/node/worker_transport.hpp
+++ b/src/node/worker_transport.hpp
@@ -1,24 +1,33 @@
 #pragma once
 
 #include <pistache/listener.h>
-#include <pistache/mailbox.h>
 #include <pistache/transport.h>
 
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
 
 namespace galenapulley
 {
 
 /// A Pistache transport that runs posted tasks on its worker's thread.
 /// Pistache 0.0.5 loses or misdirects answers written from other threads.
-class worker_transport final : public Pistache::Tcp::Transport
+///
+/// Pistache's PollableQueue empties its eventfd after it found the queue empty,
+/// so an entry pushed in between waits for the next push. The tasks therefore
+/// have a queue of their own, and a timer looks for such waiting connections.
+class worker_transport final
+    : public Pistache::Tcp::Transport,
+      public std::enable_shared_from_this<worker_transport>
 {
 public:
     explicit worker_transport(
         const std::shared_ptr<Pistache::Tcp::Handler>& handler);
+    ~worker_transport() override;
 
-    /// May be called from any thread.
+    /// May be called from any thread. Tasks run in the order posted.
     void post(std::function<void()> task);
 
     void registerPoller(Pistache::Polling::Epoll& poller) override;
@@ -26,10 +35,17 @@
     std::shared_ptr<Pistache::Aio::Handler> clone() const override;
 
 private:
+    void handle(Pistache::Polling::Event event);
     void run_tasks();
+    void check_waiting_connections();
 
-    Pistache::PollableQueue<std::function<void()>> tasks_;
     std::shared_ptr<Pistache::Tcp::Handler> handler_;
+    int task_event_;
+    int timer_;
+    std::mutex mutex_;
+    std::vector<std::function<void()>> tasks_;
+    /// Event of Pistache's queue of accepted connections, once it is known.
+    std::optional<Pistache::Polling::Event> accept_event_;
 };
 
 } // namespace galenapulley
--- a/tests/unit/raw_sockets.hpp
+++ b/tests/unit/raw_sockets.hpp
@@ -239,10 +239,10 @@
         return n_;
     }
 
-    bool wait_for(int n) const
+    bool wait_for(int n, int limit_ms = wait_limit_ms) const
     {
         std::unique_lock lock(mutex_);
-        return changed_.wait_for(lock, std::chrono::milliseconds(wait_limit_ms),
+        return changed_.wait_for(lock, std::chrono::milliseconds(limit_ms),
                                  [&] { return n_ >= n; });
     }
 
