--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,105 @@
+#include "support/child_process.hpp"
+
+#include <boost/process.hpp>
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace galenapulley::testing
+{
+
+namespace process = boost::process;
+
+struct child_process::state
+{
+    process::child child;
+};
+
+child_process::child_process(std::string program,
+                             std::vector<std::string> arguments,
+                             std::string log_file, std::string listen_address)
+    : program_(std::move(program))
+    , arguments_(std::move(arguments))
+    , log_file_(std::move(log_file))
+    , address_(std::move(listen_address))
+{
+}
+
+child_process::~child_process()
+{
+    if (state_ && state_->child.valid())
+        signal(SIGKILL);
+}
+
+void child_process::start()
+{
+    state_ = std::make_unique<state>();
+    // Each start appends, so that the log keeps the lines from before a crash.
+    std::FILE* log = std::fopen(log_file_.c_str(), "a");
+    state_->child = process::child(program_, process::args(arguments_),
+                                   (process::std_out & process::std_err) > log,
+                                   process::std_in < process::null);
+    std::fclose(log);
+}
+
+void child_process::signal(int number)
+{
+    if (!state_ || !state_->child.valid())
+        return;
+    ::kill(state_->child.id(), number);
+    if (number == SIGKILL)
+        state_->child.wait();
+}
+
+bool child_process::running()
+{
+    return state_ && state_->child.valid() && state_->child.running();
+}
+
+int child_process::wait(msec timeout)
+{
+    const steady_clock time;
+    const auto end = time.now() + timeout;
+    while (running())
+    {
+        if (time.now() >= end)
+            return -1;
+        pause_for(20);
+    }
+    return state_ ? state_->child.exit_code() : -1;
+}
+
+void pause_for(msec duration)
+{
+    ::poll(nullptr, 0, static_cast<int>(duration));
+}
+
+std::string free_address()
+{
+    // Below the range that the kernel gives to outgoing connections.
+    constexpr int first = 10'000;
+    constexpr int last = 32'000;
+    static int next = first + static_cast<int>(::getpid() * 97L % (last - first));
+    for (int n = 0; n < last - first; ++n)
+    {
+        next = next + 1 >= last ? first : next + 1;
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(static_cast<std::uint16_t>(next));
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool is_free =
+            ::bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+        ::close(fd);
+        if (is_free)
+            return "127.0.0.1:" + std::to_string(next);
+    }
+    throw std::runtime_error("no free port");
+}
+
+} // namespace galenapulley::testing
--- /dev/null
+++ b/tests/support/child_process.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace galenapulley::testing
+{
+
+/// A program under test in a process of its own.
+class child_process
+{
+public:
+    child_process(std::string program, std::vector<std::string> arguments,
+                  std::string log_file, std::string listen_address);
+    ~child_process();
+
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    void start();
+    /// Sends a signal; SIGKILL also waits for the end.
+    void signal(int number);
+    /// Exit code, or -1 if the process did not end in time.
+    int wait(msec timeout);
+    bool running();
+    const std::string& address() const { return address_; }
+
+private:
+    struct state;
+    std::string program_;
+    std::vector<std::string> arguments_;
+    std::string log_file_;
+    std::string address_;
+    std::unique_ptr<state> state_;
+};
+
+/// A loopback address that nothing listens on.
+std::string free_address();
+
+/// Blocks this thread without using the clock under test.
+void pause_for(msec duration);
+
+} // namespace galenapulley::testing
