--- a/src/galenapulley/permit.hpp
+++ b/src/galenapulley/permit.hpp
@@ -18,6 +18,8 @@
     std::int64_t incarnation = 0;
     std::uint64_t request = 0;
 
+    // The check mistakes the defaulted comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const permit_key&) const = default;
 };
 
--- a/src/galenapulley/strike_book.cpp
+++ b/src/galenapulley/strike_book.cpp
@@ -10,6 +10,9 @@
 {
 
 constexpr msec expiry_interval = 10_sec;
+/// The older of two crashes counts as long as the newer one is in force, also
+/// on nodes that hear of both late.
+constexpr msec strike_lifetime = 2 * strike_book::quarantine_time;
 
 bool is_newer(const strike& a, const strike& b)
 {
@@ -28,7 +31,7 @@
     expire(now);
     auto added = item;
     added.at = std::min(added.at, now);
-    if (added.at + quarantine_time <= now)
+    if (added.at + strike_lifetime <= now)
         return false;
     auto& [crashes, count] = entries_[added.fingerprint];
     const auto end = crashes.begin() + static_cast<std::ptrdiff_t>(count);
@@ -71,7 +74,7 @@
     {
         for (std::size_t n = 0; n < it.count; ++n)
         {
-            if (it.crashes[n].at + quarantine_time > now)
+            if (it.crashes[n].at + strike_lifetime > now)
                 strikes.push_back(it.crashes[n]);
         }
     }
@@ -86,7 +89,7 @@
         return;
     next_expiry_ = now + expiry_interval;
     std::erase_if(entries_, [&](const auto& it)
-                  { return it.second.crashes[0].at + quarantine_time <= now; });
+                  { return it.second.crashes[0].at + strike_lifetime <= now; });
 }
 
 void strike_book::evict_oldest()
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -19,7 +19,7 @@
         placement_candidate it;
         it.eligible = n % 2 == 0;
         it.running = n % 7;
-        it.prefill_tokens = n % 11 * 1000;
+        it.prefill_tokens = n % 11 * 1000ULL;
         it.cached_tokens = n % 3 * 1000;
         it.takes_long = n % 5 < 2;
         it.long_prefill = n % 13 < 4;
--- a/tests/unit/shard_scheduler_test.cpp
+++ b/tests/unit/shard_scheduler_test.cpp
@@ -185,9 +185,9 @@
 // Guards against requests that wait although their time can't suffice.
 BOOST_AUTO_TEST_CASE(hopeless_request_is_refused_at_once)
 {
-    std::vector<permit_key> keys;
-    for (int n = 0; n < 8; ++n)
-        keys.push_back(scheduler.request(query()).key);
+    std::vector<permit_key> keys(8);
+    for (auto& key : keys)
+        key = scheduler.request(query()).key;
     time.advance(20'000);
     for (const auto& key : keys)
         release(key);
@@ -409,9 +409,9 @@
 // take each part that is released.
 BOOST_AUTO_TEST_CASE(waiting_large_prompt_holds_memory)
 {
-    std::vector<permit_key> keys;
-    for (int n = 0; n < 12; ++n)
-        keys.push_back(scheduler.request(query(30'000)).key);
+    std::vector<permit_key> keys(12);
+    for (auto& key : keys)
+        key = scheduler.request(query(30'000)).key;
     auto large = query(190'000);
     large.deadline += 600'000;
     BOOST_TEST((scheduler.request(large).state == permit_state::queued));
@@ -453,9 +453,9 @@
     BOOST_TEST(scheduler.free_slots(3) == 8U);
     scheduler.set_fleet({{}, {"vm-e0", "vm-e1"}}, {});
     BOOST_TEST(scheduler.free_slots(3) == 2U);
-    std::vector<permit_key> keys;
-    for (int n = 0; n < 8; ++n)
-        keys.push_back(scheduler.request(query()).key);
+    std::vector<permit_key> keys(8);
+    for (auto& key : keys)
+        key = scheduler.request(query()).key;
     auto large = query(150'000);
     large.deadline += 600'000;
     BOOST_TEST((scheduler.request(large).state == permit_state::queued));
--- a/tests/unit/strike_book_test.cpp
+++ b/tests/unit/strike_book_test.cpp
@@ -52,9 +52,9 @@
     {
         if (used.insert(at).second)
             strikes.push_back(
-                {.fingerprint = n % 3U, .crash_id = at, .at = at * 20});
+                {.fingerprint = n % 3U, .crash_id = at, .at = at * 20_ms});
     }
-    const msec now = 65'536 * 20;
+    const msec now = 65'536 * 20_ms;
     strike_book book;
     strike_book other;
     for (const auto& it : strikes)
--- a/tests/unit/warm_up_test.cpp
+++ b/tests/unit/warm_up_test.cpp
@@ -71,7 +71,7 @@
     std::int64_t incarnation = 1;
     for (const auto op : ops)
     {
-        now += op * 20;
+        now += op * 20_ms;
         const bool cold = op % 5 == 0;
         if (op % 7 == 0)
         {
