--- a/tests/unit/config_writer_test.cpp
+++ b/tests/unit/config_writer_test.cpp
@@ -136,6 +136,22 @@
     BOOST_TEST(table.history("services/drafting").size() == 2U);
 }
 
+// Guards against an outdated read between two commits that hides the first
+// one, which can still take effect: "not run" would be wrong.
+BOOST_FIXTURE_TEST_CASE(an_outdated_read_keeps_the_outcome_unknown, fixture)
+{
+    using enum table_fault;
+    BOOST_TEST(execute(put_drafting(), "c1")->ok());
+    BOOST_TEST(execute(put_drafting(), "c2")->ok());
+    table.script(
+        {none, none, late_effect, none, stale, outage, none, none, refused});
+    table.set_fault(outage);
+    BOOST_TEST((kind_of_result(execute(put_drafting(), "c3")) ==
+                error_kind::outcome_unknown));
+    table.run_late_effects();
+    BOOST_TEST(table.history("services/drafting").size() == 3U);
+}
+
 // Guards against "outcome unknown" for a change that surely did not commit.
 BOOST_FIXTURE_TEST_CASE(an_outage_before_any_commit_is_not_run, fixture)
 {
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -83,6 +83,30 @@
     BOOST_TEST(fleet[0].gossip.find("n4")->incarnation == 1'780'000'060'000);
 }
 
+// Guards against a message that arrives long after its sender was dropped and
+// brings it back for another 30 s.
+BOOST_AUTO_TEST_CASE(a_late_message_does_not_bring_a_dead_node_back)
+{
+    gossip_fleet fleet(4);
+    fleet.rounds(10);
+    wire::gossip late;
+    const auto* dead = fleet[0].gossip.find("n3");
+    BOOST_TEST_REQUIRE(dead != nullptr);
+    auto* entry = late.add_members();
+    entry->set_node(dead->node);
+    entry->set_zone(dead->zone);
+    entry->set_peer_address(dead->peer_address);
+    entry->set_incarnation(dead->incarnation);
+    entry->set_heartbeat(dead->heartbeat);
+    fleet[3].down = true;
+    fleet.rounds(40);
+    fleet[0].gossip.on_gossip("n3", late, fleet.now());
+    BOOST_TEST(fleet[0].gossip.find("n3") == nullptr);
+    entry->set_heartbeat(entry->heartbeat() + 40);
+    fleet[0].gossip.on_gossip("n3", late, fleet.now());
+    BOOST_TEST(fleet[0].gossip.find("n3") != nullptr);
+}
+
 // Guards against halves of the fleet that drop each other while cut apart and
 // never meet again.
 BOOST_AUTO_TEST_CASE(parts_find_together_after_an_hour)
