--- /dev/null
+++ b/tests/unit/reservation_sweeper_test.cpp
@@ -0,0 +1,275 @@
+#include "galenapulley/reservation_sweeper.hpp"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+using namespace galenapulley;
+
+namespace
+{
+
+constexpr msec ttl = 6000;
+
+reservation entry(const std::string& id, msec age = 3000, msec left = 60'000)
+{
+    return {.id = id, .tokens = 100, .age = age, .deadline_left = left};
+}
+
+} // namespace
+
+// Guards against a holder read wrongly from an id, whose reservation would
+// then be judged by another node's answers.
+BOOST_AUTO_TEST_CASE(holder_is_read_from_the_id)
+{
+    const reservation_holder expected{.node = "n.1", .incarnation = 42};
+    BOOST_TEST((holder_of("n.1.42.7") == expected));
+    for (const auto* id : {"", "n", "n.1", ".1.2", "n.x.2", "n.1.", "n.1.-2"})
+        BOOST_TEST(!holder_of(id).has_value());
+}
+
+// Guards against (a) taken from an answer of another incarnation, to another
+// question, or to a question asked before the reservation was seen.
+BOOST_AUTO_TEST_CASE(only_a_matching_answer_releases)
+{
+    reservation_sweeper sweeper(ttl);
+    const auto first = sweeper.sweep("e1", {entry("n.1.1")}, 1000);
+    BOOST_TEST(first.questions.size() == 1U);
+    const auto query = first.questions[0].query;
+    const reservation_holder holder{.node = "n", .incarnation = 1};
+    const auto ask = [&](std::int64_t number, const reservation_holder& from)
+    {
+        return sweeper.holder_answered(number, from, {"n.1.1"}, 1100)
+            .releases.size();
+    };
+    BOOST_TEST(ask(query, {.node = "m", .incarnation = 1}) == 0U);
+    BOOST_TEST(ask(query - 1, holder) == 0U);
+    BOOST_TEST(ask(query + 1, holder) == 0U);
+    // The id was reserved anew on the engine: the old question is void.
+    sweeper.sweep("e1", {entry("n.1.1", 100)}, 3000);
+    BOOST_TEST(ask(query, holder) == 0U);
+    const auto again = sweeper.sweep("e1", {entry("n.1.1", 2100)}, 5000);
+    BOOST_TEST(again.questions.size() == 1U);
+    BOOST_TEST(ask(again.questions[0].query, holder) == 1U);
+}
+
+// Guards against (b) before the grace has passed, or never when the engine
+// reports 0 for passed deadlines.
+BOOST_AUTO_TEST_CASE(passed_deadline_releases_after_the_grace)
+{
+    reservation_sweeper sweeper(ttl);
+    msec now = 0;
+    const auto releases = [&](msec left)
+    {
+        now += 2000;
+        return sweeper.sweep("e1", {entry("foreign", now, left)}, now)
+            .releases.size();
+    };
+    BOOST_TEST(releases(1000) == 0U);
+    BOOST_TEST(releases(0) == 0U);
+    BOOST_TEST(releases(0) == 0U);
+    BOOST_TEST(releases(0) == 0U);
+    BOOST_TEST(releases(0) == 1U);
+}
+
+// Guards against (c) not applied, or applied to the new process's own
+// reservations.
+BOOST_AUTO_TEST_CASE(newer_incarnation_releases_the_older)
+{
+    reservation_sweeper sweeper(ttl);
+    const std::vector list{entry("n.1.1"), entry("n.2.1")};
+    sweeper.sweep("e1", list, 1000);
+    sweeper.heard({.node = "n", .incarnation = 2}, 1500);
+    const auto actions = sweeper.sweep("e1", list, 2000);
+    BOOST_TEST(actions.releases.size() == 1U);
+    BOOST_TEST(actions.releases.at(0).id == "n.1.1");
+}
+
+// Guards against (d) while gossip still brings heartbeats, while the store was
+// unreachable, or after a pause of the sweeper itself.
+BOOST_AUTO_TEST_CASE(silent_node_is_released_only_with_a_still_lease)
+{
+    const reservation_holder holder{.node = "n", .incarnation = 1};
+    const auto released = [&](bool gossip, bool store, bool pause)
+    {
+        reservation_sweeper sweeper(ttl);
+        std::size_t count = 0;
+        for (msec now = 2000; now <= 40'000; now += 2000)
+        {
+            if (pause && now % 14'000 < 8000)
+                continue;
+            if (gossip && now % 10'000 == 0)
+                sweeper.heard(holder, now);
+            if (store || now % 12'000 == 0)
+                sweeper.lease_seen(holder, 5, now);
+            const auto list = {entry("n.1.1", now)};
+            count += sweeper.sweep("e1", list, now).releases.size();
+        }
+        return count;
+    };
+    BOOST_TEST(released(false, true, false) > 0U);
+    BOOST_TEST(released(true, true, false) == 0U);
+    BOOST_TEST(released(false, false, false) == 0U);
+    BOOST_TEST(released(false, true, true) == 0U);
+}
+
+namespace
+{
+
+/// Nodes with live requests, an engine, and messages under way.
+struct world
+{
+    reservation_sweeper sweeper{ttl};
+    msec now = 1000;
+    std::vector<std::int64_t> incarnation{1, 1, 1};
+    std::set<std::string> live;
+    std::map<std::string, std::pair<msec, msec>> engine;
+    std::deque<std::pair<std::size_t, holder_question>> questions;
+    struct reply
+    {
+        std::int64_t query;
+        reservation_holder from;
+        std::vector<std::string> not_held;
+    };
+    std::deque<reply> replies;
+    int requests = 0;
+
+    static std::string name(std::size_t n) { return std::to_string(n) + "n"; }
+
+    void reserve(std::size_t n)
+    {
+        const auto id = name(n) + "." + std::to_string(incarnation[n]) + "." +
+                        std::to_string(++requests);
+        live.insert(id);
+        engine[id] = {now, now + 120'000};
+    }
+
+    void end(std::size_t choice, bool release_arrives)
+    {
+        if (live.empty())
+            return;
+        auto it = live.begin();
+        std::advance(it, choice % live.size());
+        if (release_arrives)
+            engine.erase(*it);
+        live.erase(it);
+    }
+
+    void restart(std::size_t n)
+    {
+        const auto prefix = name(n) + ".";
+        std::erase_if(live, [&](const std::string& it)
+                      { return it.rfind(prefix, 0) == 0; });
+        ++incarnation[n];
+    }
+
+    void carry_out(const sweep_actions& actions)
+    {
+        for (const auto& it : actions.releases)
+        {
+            RC_ASSERT(live.count(it.id) == 0U);
+            engine.erase(it.id);
+        }
+        for (const auto& it : actions.questions)
+            questions.emplace_back(static_cast<std::size_t>(it.node[0] - '0'),
+                                   it);
+    }
+
+    void sweep()
+    {
+        std::vector<reservation> list;
+        for (const auto& [id, times] : engine)
+            list.push_back({.id = id,
+                            .tokens = 1,
+                            .age = now - times.first,
+                            .deadline_left = times.second - now});
+        carry_out(sweeper.sweep("e1", list, now));
+    }
+
+    void answer()
+    {
+        if (questions.empty())
+            return;
+        const auto [n, question] = questions.front();
+        questions.pop_front();
+        reply out{.query = question.query,
+                  .from = {.node = name(n), .incarnation = incarnation[n]},
+                  .not_held = {}};
+        for (const auto& it : question.reservations)
+            if (live.count(it) == 0)
+                out.not_held.push_back(it);
+        replies.push_back(out);
+    }
+
+    void deliver()
+    {
+        if (replies.empty())
+            return;
+        const auto it = replies.front();
+        replies.pop_front();
+        carry_out(sweeper.holder_answered(it.query, it.from, it.not_held, now));
+    }
+
+    void heartbeats()
+    {
+        for (std::size_t n = 0; n < incarnation.size(); ++n)
+            sweeper.heard({.node = name(n), .incarnation = incarnation[n]},
+                          now);
+    }
+};
+
+} // namespace
+
+// Guards against the release of a reservation that a live request holds, and
+// against orphans that stay for ever.
+RC_BOOST_PROP(releases_orphans_and_nothing_else, ())
+{
+    world all;
+    const auto steps =
+        *rc::gen::container<std::vector<std::pair<int, std::size_t>>>(
+            100,
+            rc::gen::resize(
+                100, rc::gen::pair(rc::gen::inRange(0, 100),
+                                   rc::gen::inRange<std::size_t>(0, 3000))));
+    for (const auto& [roll, choice] : steps)
+    {
+        if (roll < 25)
+            all.reserve(choice % 3);
+        else if (roll < 40)
+            all.end(choice, choice % 2 == 0);
+        else if (roll < 60)
+        {
+            all.now += static_cast<msec>(choice) % 900;
+            all.heartbeats();
+        }
+        else if (roll < 75)
+            all.sweep();
+        else if (roll < 85)
+            all.answer();
+        else if (roll < 95)
+            all.deliver();
+        else if (roll < 97)
+            all.restart(choice % 3);
+        else if (!all.questions.empty())
+            all.questions.pop_front();
+    }
+    for (int n = 0; n < 10; ++n)
+    {
+        all.now += 2000;
+        all.heartbeats();
+        all.sweep();
+        while (!all.questions.empty())
+            all.answer();
+        while (!all.replies.empty())
+            all.deliver();
+    }
+    std::set<std::string> left;
+    for (const auto& [id, times] : all.engine)
+        left.insert(id);
+    RC_ASSERT(left == all.live);
+}
--- /dev/null
+++ b/tests/unit/stream_check_test.cpp
@@ -0,0 +1,241 @@
+#include "galenapulley/stream_check.hpp"
+
+#include <nlohmann/json.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace galenapulley;
+
+namespace
+{
+
+std::string text_of(std::size_t index)
+{
+    return "w" + std::to_string(index);
+}
+
+std::string text_event(const std::string& id, std::size_t index,
+                       const std::string& text)
+{
+    return nlohmann::json{{"id", id}, {"index", index}, {"text", text}}.dump();
+}
+
+std::string finish_event(const std::string& id, std::size_t count)
+{
+    return nlohmann::json{{"id", id}, {"finish", "stop"}, {"count", count}}
+        .dump();
+}
+
+std::string as_stream(const std::vector<std::string>& data,
+                      const std::string& newline = "\n")
+{
+    std::string out;
+    for (const auto& it : data)
+    {
+        out += "data: ";
+        out += it;
+        out += newline;
+        out += newline;
+    }
+    return out;
+}
+
+std::vector<std::string> whole(const std::string& id, std::size_t count)
+{
+    std::vector<std::string> data;
+    for (std::size_t n = 0; n < count; ++n)
+        data.push_back(text_event(id, n, text_of(n)));
+    data.push_back(finish_event(id, count));
+    data.emplace_back("[DONE]");
+    return data;
+}
+
+std::string joined(const std::vector<stream_event>& events)
+{
+    std::string out;
+    for (const auto& it : events)
+        out += it.is_finish ? "#" + std::to_string(it.index) : it.text;
+    return out;
+}
+
+/// What a plain reading of the events, one by one, says about them.
+struct naive_result
+{
+    stream_state state = stream_state::reading;
+    std::string forwarded;
+    std::vector<std::string> texts;
+};
+
+naive_result naive_check(const std::string& id,
+                         const std::vector<std::string>& data)
+{
+    naive_result result;
+    bool finished = false;
+    for (const auto& it : data)
+    {
+        if (it == "[DONE]")
+        {
+            result.state =
+                finished ? stream_state::complete : stream_state::needs_resume;
+            if (finished)
+                result.forwarded += "#" + std::to_string(result.texts.size());
+            return result;
+        }
+        const auto event = nlohmann::json::parse(it);
+        const auto number =
+            event.value("index", event.value("count", std::size_t{0}));
+        const auto wrong =
+            event["id"] != id ||
+            (event.contains("finish") && number < result.texts.size()) ||
+            (event.contains("text") && number < result.texts.size() &&
+             event["text"] != result.texts[number]) ||
+            (event.contains("text") && number >= result.texts.size() &&
+             finished);
+        if (wrong || number > result.texts.size())
+        {
+            result.state =
+                wrong ? stream_state::wrong_stream : stream_state::needs_resume;
+            return result;
+        }
+        finished = finished || event.contains("finish");
+        if (event.contains("text") && number == result.texts.size())
+        {
+            result.texts.push_back(event["text"]);
+            result.forwarded += result.texts.back();
+        }
+    }
+    result.state = stream_state::needs_resume;
+    return result;
+}
+
+std::vector<std::string> damaged(std::vector<std::string> data)
+{
+    const auto changes = *rc::gen::inRange(0, 4);
+    for (int n = 0; n < changes && data.size() > 1; ++n)
+    {
+        const auto at = *rc::gen::inRange<std::size_t>(0, data.size());
+        const auto place = data.begin() + static_cast<std::ptrdiff_t>(at);
+        switch (*rc::gen::inRange(0, 6))
+        {
+        case 0:
+            data.erase(place);
+            break;
+        case 1:
+            data.insert(place, std::string(*place));
+            break;
+        case 2:
+            std::swap(data[at], data[data.size() - 1 - at]);
+            break;
+        case 3:
+            data.resize(at);
+            break;
+        case 4:
+            data.insert(place, text_event("other", at, text_of(at)));
+            break;
+        default:
+            data.insert(place, text_event("t1", at / 2, "changed"));
+            break;
+        }
+    }
+    return data;
+}
+
+} // namespace
+
+// Guards against any split of the bytes, or kind of line end, that changes
+// what is forwarded, and against drops, repeats, crossed or cut streams that
+// are taken as complete.
+RC_BOOST_PROP(agrees_with_a_naive_parser, ())
+{
+    const auto size = *rc::gen::inRange<std::size_t>(0, 12);
+    const auto data = damaged(whole("t1", size));
+    const auto newline = *rc::gen::element<std::string>("\n", "\r\n", "\r");
+    const auto bytes = as_stream(data, newline);
+    stream_check check("t1");
+    std::vector<stream_event> events;
+    for (std::size_t n = 0; n < bytes.size();)
+    {
+        const auto length = *rc::gen::inRange<std::size_t>(1, 40);
+        for (auto& it : check.feed(std::string_view(bytes).substr(n, length)))
+            events.push_back(it);
+        n += length;
+    }
+    check.end_of_input();
+    const auto expected = naive_check("t1", data);
+    RC_ASSERT((check.state() == expected.state));
+    RC_ASSERT(joined(events) == expected.forwarded);
+    RC_ASSERT(check.next_index() == expected.texts.size());
+}
+
+// Guards against a resumed stream that repeats or loses events, or gives the
+// finish event twice.
+RC_BOOST_PROP(resumed_stream_gives_the_whole_answer, ())
+{
+    const auto size = *rc::gen::inRange<std::size_t>(1, 12);
+    const auto cut = *rc::gen::inRange<std::size_t>(0, size + 2);
+    auto data = whole("t1", size);
+    data.resize(cut);
+    stream_check check("t1");
+    auto text = joined(check.feed(as_stream(data)));
+    check.end_of_input();
+    RC_ASSERT((check.state() == stream_state::needs_resume));
+    check.resume("t2");
+    const auto rest = whole("t2", size);
+    const auto from = *rc::gen::inRange<std::size_t>(0, check.next_index() + 1);
+    text += joined(check.feed(as_stream(
+        {rest.begin() + static_cast<std::ptrdiff_t>(from), rest.end()})));
+    RC_ASSERT((check.state() == stream_state::complete));
+    stream_check undisturbed("t1");
+    RC_ASSERT(text == joined(undisturbed.feed(as_stream(whole("t1", size)))));
+}
+
+// Guards against a finish event that is forwarded before the end mark: after
+// a resume the caller would get it twice.
+BOOST_AUTO_TEST_CASE(finish_waits_for_the_end_mark)
+{
+    stream_check check("t1");
+    BOOST_TEST(check.feed(as_stream({finish_event("t1", 0)})).empty());
+    BOOST_TEST(check.feed(as_stream({"[DONE]"})).size() == 1U);
+    BOOST_TEST((check.state() == stream_state::complete));
+}
+
+// Guards against memory that grows with an event that never ends.
+BOOST_AUTO_TEST_CASE(endless_event_is_refused)
+{
+    stream_check check("t1");
+    const std::string part(65'536, 'x');
+    int fed = 0;
+    while (check.state() == stream_state::reading && fed < 100)
+    {
+        check.feed(part);
+        ++fed;
+    }
+    BOOST_TEST((check.state() == stream_state::wrong_stream));
+    BOOST_TEST(fed <= 17);
+}
+
+// Guards against a crash or a false "complete" on arbitrary bytes.
+BOOST_AUTO_TEST_CASE(random_bytes_never_complete)
+{
+    std::mt19937 random(20261204);
+    const std::string alphabet = "data: {}[]\"id\r\n\n:t1index,0DONE\\\xff";
+    for (int round = 0; round < 20'000; ++round)
+    {
+        stream_check check("t1");
+        std::string bytes = round % 2 == 0 ? "data: " : "";
+        for (auto n = random() % 200; n > 0; --n)
+            bytes += alphabet[random() % alphabet.size()];
+        bytes += "\n\n";
+        const auto events = check.feed(bytes);
+        check.end_of_input();
+        BOOST_REQUIRE(events.empty());
+        BOOST_REQUIRE((check.state() != stream_state::complete));
+        BOOST_REQUIRE((check.state() != stream_state::reading));
+    }
+}
