http_server: a caller that does not read no longer stops its worker

Cause: Pistache 0.0.5's flush() spins on a full socket until the caller reads. With 4 streams that nobody read, both workers of a process ran at 100% and answered no other connection (4 calls to /load timed out, gdb showed ResponseStream::flush in handleWriteQueue and rearmFd).

An answer that does not fit is sent chunked.

--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -6,10 +6,13 @@
 #include <pistache/listener.h>
 #include <pistache/peer.h>
 
+#include <linux/sock_diag.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -64,6 +67,25 @@
     return request;
 }
 
+/// Whether the caller's socket takes so many bytes of body and a head at once.
+bool socket_has_room(const Http::ResponseWriter& writer, std::size_t bytes)
+{
+    // The kernel accounts up to twice the size of the data, and more for small
+    // segments.
+    constexpr std::size_t overhead_factor = 2;
+    constexpr std::size_t head_bytes = 4 << 10;
+    const auto peer = writer.getPeer();
+    if (!peer)
+        return true;
+    std::array<std::uint32_t, SK_MEMINFO_VARS> info{};
+    socklen_t size = sizeof(info);
+    if (getsockopt(peer->fd(), SOL_SOCKET, SO_MEMINFO, info.data(), &size) != 0)
+        return true;
+    const std::size_t queued = info[SK_MEMINFO_WMEM_QUEUED];
+    return queued + overhead_factor * bytes + head_bytes <=
+           info[SK_MEMINFO_SNDBUF];
+}
+
 /// State of one exchange; touched on the worker thread only.
 class pistache_exchange final
     : public http_exchange,
@@ -81,8 +103,18 @@
     void respond(http_answer answer) override
     {
         run(
-            [this, answer = std::move(answer)]
+            [this, answer = std::move(answer)]() mutable
             {
+                if (head_ || stream_)
+                    return;
+                if (!socket_has_room(*writer_, answer.body.size()))
+                {
+                    pending_ = std::move(answer.body);
+                    head_ = std::move(answer);
+                    finishing_ = true;
+                    pump();
+                    return;
+                }
                 set_head(answer);
                 writer_->send(Http::Code(answer.status), answer.body);
                 // A queued write would go to the bare descriptor, which may
@@ -95,12 +127,12 @@
     void start_stream(http_answer head) override
     {
         run(
-            [this, head = std::move(head)]
+            [this, head = std::move(head)]() mutable
             {
-                set_head(head);
-                stream_.emplace(
-                    writer_->stream(Http::Code(head.status), max_chunk));
-                stream_->flush();
+                if (head_ || stream_)
+                    return;
+                head_ = std::move(head);
+                pump();
             });
     }
 
@@ -109,11 +141,10 @@
         run(
             [this, chunk = std::move(chunk)]
             {
-                if (!stream_ || chunk.empty())
+                if ((!head_ && !stream_) || finishing_)
                     return;
-                stream_->write(chunk.data(),
-                               static_cast<std::streamsize>(chunk.size()));
-                stream_->flush();
+                pending_ += chunk;
+                pump();
             });
     }
 
@@ -122,11 +153,10 @@
         run(
             [this]
             {
-                if (!stream_)
+                if (!head_ && !stream_)
                     return;
-                stream_->ends();
-                worker_->flush();
-                complete();
+                finishing_ = true;
+                pump();
             });
     }
 
@@ -167,12 +197,73 @@
 
 private:
     static constexpr std::size_t max_chunk = 64 << 10;
+    /// Small enough to pass socket_has_room with the least send buffer.
+    static constexpr std::size_t slice_bytes = 2 << 10;
+
+    /// Writes what the socket takes at once and keeps the rest for later.
+    /// Pistache's flush() spins until the caller reads, and stops every other
+    /// connection of the worker meanwhile.
+    void pump()
+    {
+        if (retry_scheduled_)
+            return;
+        while (head_ || !pending_.empty() || finishing_)
+        {
+            if (!socket_has_room(*writer_, slice_bytes))
+            {
+                retry_scheduled_ = true;
+                worker_->retry_later([self = shared_from_this()]
+                                     { self->retry(); });
+                return;
+            }
+            if (head_)
+                begin_stream();
+            else if (!pending_.empty())
+                write_slice();
+            else
+            {
+                stream_->ends();
+                worker_->flush();
+                complete();
+                return;
+            }
+        }
+    }
+
+    void retry()
+    {
+        retry_scheduled_ = false;
+        if (writer_ && writer_->getPeer())
+            pump();
+    }
+
+    void begin_stream()
+    {
+        set_head(*head_);
+        stream_.emplace(writer_->stream(Http::Code(head_->status), max_chunk));
+        stream_->flush();
+        head_.reset();
+    }
+
+    void write_slice()
+    {
+        const auto n = std::min(slice_bytes, pending_.size() - written_);
+        stream_->write(pending_.data() + written_,
+                       static_cast<std::streamsize>(n));
+        stream_->flush();
+        written_ += n;
+        if (written_ == pending_.size())
+        {
+            pending_.clear();
+            written_ = 0;
+        }
+    }
 
     template <typename Task>
     void run(Task task)
     {
         worker_->post(
-            [self = shared_from_this(), task = std::move(task)]
+            [self = shared_from_this(), task = std::move(task)]() mutable
             {
                 // The peer may have left while the task was queued.
                 if (!self->writer_ || !self->writer_->getPeer())
@@ -201,6 +292,13 @@
     worker_transport* worker_;
     std::optional<Http::ResponseWriter> writer_;
     std::optional<Http::ResponseStream> stream_;
+    /// Head of a stream that is not written yet.
+    std::optional<http_answer> head_;
+    /// Body that the socket has not taken yet, from written_ on.
+    std::string pending_;
+    std::size_t written_ = 0;
+    bool finishing_ = false;
+    bool retry_scheduled_ = false;
     std::function<void()> completed_;
     std::function<void()> disconnected_;
     bool gone_ = false;
