--- a/src/node/worker_transport.cpp
+++ b/src/node/worker_transport.cpp
@@ -22,6 +22,7 @@
 
 /// Longest time for which an accepted connection may wait unnoticed.
 constexpr long accept_check_ns = 100'000'000;
+constexpr long retry_interval_ns = 5'000'000;
 
 int checked(int fd, const char* what)
 {
@@ -30,6 +31,13 @@
     return fd;
 }
 
+int make_timer()
+{
+    return checked(
+        ::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC),
+        "timerfd");
+}
+
 void drain(int fd)
 {
     std::uint64_t count = 0;
@@ -42,9 +50,8 @@
     : Transport(handler)
     , handler_(handler)
     , task_event_(checked(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
-    , timer_(
-          checked(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC),
-                  "timerfd"))
+    , timer_(make_timer())
+    , retry_timer_(make_timer())
 {
 }
 
@@ -55,6 +62,7 @@
         ::close(peer->fd());
     ::close(task_event_);
     ::close(timer_);
+    ::close(retry_timer_);
 }
 
 void worker_transport::post(std::function<void()> task)
@@ -68,6 +76,16 @@
     static_cast<void>(::write(task_event_, &one, sizeof one));
 }
 
+void worker_transport::retry_later(std::function<void()> task)
+{
+    if (retries_.empty())
+    {
+        const itimerspec delay{{0, 0}, {0, retry_interval_ns}};
+        ::timerfd_settime(retry_timer_, 0, &delay, nullptr);
+    }
+    retries_.push_back(std::move(task));
+}
+
 void worker_transport::registerPoller(Polling::Epoll& poller)
 {
     Transport::registerPoller(poller);
@@ -76,6 +94,7 @@
     const itimerspec period{{0, accept_check_ns}, {0, accept_check_ns}};
     ::timerfd_settime(timer_, 0, &period, nullptr);
     poller.addFd(timer_, read, Polling::Tag(timer_));
+    poller.addFd(retry_timer_, read, Polling::Tag(retry_timer_));
 }
 
 void worker_transport::onReady(const Aio::FdSet& fds)
@@ -86,6 +105,8 @@
             run_tasks();
         else if (entry.getTag() == Polling::Tag(timer_))
             check_waiting_connections();
+        else if (entry.getTag() == Polling::Tag(retry_timer_))
+            run_retries();
         else // Entry inherits Event privately; only this cast reaches it.
             handle((const Polling::Event&)entry);
     }
@@ -125,6 +146,13 @@
     }
 }
 
+void worker_transport::run_retries()
+{
+    drain(retry_timer_);
+    for (auto& task : std::exchange(retries_, {}))
+        task();
+}
+
 void worker_transport::check_waiting_connections()
 {
     drain(timer_);
--- a/src/node/worker_transport.hpp
+++ b/src/node/worker_transport.hpp
@@ -29,6 +29,8 @@
 
     /// May be called from any thread. Tasks run in the order posted.
     void post(std::function<void()> task);
+    /// Runs the task on this worker after 5 ms. Only called on the worker.
+    void retry_later(std::function<void()> task);
 
     void registerPoller(Pistache::Polling::Epoll& poller) override;
     void onReady(const Pistache::Aio::FdSet& fds) override;
@@ -37,13 +39,16 @@
 private:
     void handle(Pistache::Polling::Event event);
     void run_tasks();
+    void run_retries();
     void check_waiting_connections();
 
     std::shared_ptr<Pistache::Tcp::Handler> handler_;
     int task_event_;
     int timer_;
+    int retry_timer_;
     std::mutex mutex_;
     std::vector<std::function<void()>> tasks_;
+    std::vector<std::function<void()>> retries_;
     /// Event of Pistache's queue of accepted connections, once it is known.
     std::optional<Pistache::Polling::Event> accept_event_;
 };
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -84,7 +84,8 @@
     // Below the range that the kernel gives to outgoing connections.
     constexpr int first = 10'000;
     constexpr int last = 32'000;
-    static int next = first + static_cast<int>(::getpid() * 97L % (last - first));
+    static int next =
+        first + static_cast<int>(::getpid() * 97L % (last - first));
     for (int n = 0; n < last - first; ++n)
     {
         next = next + 1 >= last ? first : next + 1;
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -41,8 +41,8 @@
     return path.string();
 }
 
-std::map<std::string, std::string> with_token(std::map<std::string, std::string> headers,
-                                              const char* token)
+std::map<std::string, std::string>
+with_token(std::map<std::string, std::string> headers, const char* token)
 {
     headers.emplace("Authorization", std::string("Bearer ") + token);
     headers.emplace("Content-Type", "application/json");
@@ -55,7 +55,8 @@
     : options_(std::move(options)), directory_(make_directory())
 {
     start_platform();
-    const auto standin = program("GALENAPULLEY_STANDIN", "galenapulley_standin");
+    const auto standin =
+        program("GALENAPULLEY_STANDIN", "galenapulley_standin");
     const auto add = [&](const char* kind, std::size_t n, auto& list,
                          const std::vector<std::string>& extra)
     {
@@ -63,8 +64,8 @@
         std::vector<std::string> args{kind, "--listen", address};
         args.insert(args.end(), extra.begin(), extra.end());
         list.push_back(std::make_unique<child_process>(
-            standin, args,
-            directory_ + "/" + kind + std::to_string(n) + ".log", address));
+            standin, args, directory_ + "/" + kind + std::to_string(n) + ".log",
+            address));
         list.back()->start();
     };
     for (std::size_t n = 0; n < options_.zones * options_.engines_per_zone; ++n)
@@ -119,18 +120,18 @@
 
 void process_fleet::write_settings(std::size_t n) const
 {
-    json settings{{"node", "node-" + std::to_string(n)},
-                  {"zone", node_zone(n)},
-                  {"machine", "vm-node-" + std::to_string(n)},
-                  {"listen", node_address(n)},
-                  {"platform", platform_address()},
-                  {"workers", 2},
-                  {"teams",
-                   {{{"name", "team"}, {"token_sha256", token_hash(team_token)}}}},
-                  {"operators",
-                   {{{"name", "ops"},
-                     {"token_sha256", token_hash(operator_token)}}}},
-                  {"log_level", "info"}};
+    json settings{
+        {"node", "node-" + std::to_string(n)},
+        {"zone", node_zone(n)},
+        {"machine", "vm-node-" + std::to_string(n)},
+        {"listen", node_address(n)},
+        {"platform", platform_address()},
+        {"workers", 2},
+        {"teams",
+         {{{"name", "team"}, {"token_sha256", token_hash(team_token)}}}},
+        {"operators",
+         {{{"name", "ops"}, {"token_sha256", token_hash(operator_token)}}}},
+        {"log_level", "info"}};
     settings.update(options_.settings);
     auto& seeds = settings["seeds"];
     settings["peer"] = seeds[n];
@@ -262,8 +263,7 @@
     const auto put = [this](const std::string& name, const json& document)
     {
         const bool done = wait_until(
-            [&]
-            {
+            [&] {
                 return put_document(0, name, document, "install-" + name)
                            .status == 200;
             },
@@ -293,7 +293,10 @@
                                  directory_);
 }
 
-void process_fleet::kill_node(std::size_t n) { nodes_.at(n)->signal(SIGKILL); }
+void process_fleet::kill_node(std::size_t n)
+{
+    nodes_.at(n)->signal(SIGKILL);
+}
 
 void process_fleet::freeze_node(std::size_t n)
 {
@@ -305,7 +308,10 @@
     nodes_.at(n)->signal(SIGCONT);
 }
 
-void process_fleet::stop_node(std::size_t n) { nodes_.at(n)->signal(SIGTERM); }
+void process_fleet::stop_node(std::size_t n)
+{
+    nodes_.at(n)->signal(SIGTERM);
+}
 
 int process_fleet::wait_node(std::size_t n, msec timeout)
 {
@@ -362,12 +368,11 @@
     return json::parse(result.body, nullptr, false);
 }
 
-pending_call process_fleet::start_call(const std::string& method,
-                                       const std::string& address,
-                                       const std::string& path,
-                                       const std::string& body,
-                                       std::map<std::string, std::string> headers,
-                                       msec timeout)
+pending_call
+process_fleet::start_call(const std::string& method, const std::string& address,
+                          const std::string& path, const std::string& body,
+                          std::map<std::string, std::string> headers,
+                          msec timeout)
 {
     http_call request;
     request.method = method;
@@ -383,19 +388,19 @@
     return out;
 }
 
-http_result process_fleet::call(const std::string& method,
-                                const std::string& address,
-                                const std::string& path, const std::string& body,
-                                std::map<std::string, std::string> headers,
-                                msec timeout)
+http_result
+process_fleet::call(const std::string& method, const std::string& address,
+                    const std::string& path, const std::string& body,
+                    std::map<std::string, std::string> headers, msec timeout)
 {
     return start_call(method, address, path, body, std::move(headers), timeout)
         .result.get();
 }
 
-pending_call process_fleet::start_completion(
-    std::size_t node, const std::string& prompt, std::uint32_t max_tokens,
-    bool stream, std::map<std::string, std::string> headers)
+pending_call
+process_fleet::start_completion(std::size_t node, const std::string& prompt,
+                                std::uint32_t max_tokens, bool stream,
+                                std::map<std::string, std::string> headers)
 {
     const json body{{"model", "drafter"},
                     {"prompt", prompt},
@@ -433,18 +438,17 @@
 http_result process_fleet::operate(std::size_t node,
                                    const std::string& call_path)
 {
-    return call("POST", node_address(node), "/admin/" + call_path, {},
-                with_token({{"x-change-id",
-                             "op-" + std::to_string(::getpid()) + "-" +
-                                 std::to_string(++last_change_)}},
-                           operator_token));
+    return call(
+        "POST", node_address(node), "/admin/" + call_path, {},
+        with_token({{"x-change-id", "op-" + std::to_string(::getpid()) + "-" +
+                                        std::to_string(++last_change_)}},
+                   operator_token));
 }
 
-http_result process_fleet::put_document(std::size_t node,
-                                        const std::string& service,
-                                        const json& document,
-                                        const std::string& change_id,
-                                        std::map<std::string, std::string> headers)
+http_result
+process_fleet::put_document(std::size_t node, const std::string& service,
+                            const json& document, const std::string& change_id,
+                            std::map<std::string, std::string> headers)
 {
     headers["x-change-id"] = change_id;
     return call("PUT", node_address(node), "/admin/services/" + service,
@@ -453,9 +457,8 @@
 
 json process_fleet::status(std::size_t node)
 {
-    const auto result =
-        call("GET", node_address(node), "/admin/status", {},
-             with_token({}, operator_token), 2000);
+    const auto result = call("GET", node_address(node), "/admin/status", {},
+                             with_token({}, operator_token), 2000);
     auto body = json::parse(result.body, nullptr, false);
     return body.is_object() ? body : json::object();
 }
--- a/tests/support/process_fleet.hpp
+++ b/tests/support/process_fleet.hpp
@@ -111,10 +111,10 @@
     http_result complete(std::size_t node, const std::string& prompt,
                          std::uint32_t max_tokens = 8,
                          std::map<std::string, std::string> headers = {});
-    pending_call start_completion(std::size_t node, const std::string& prompt,
-                                  std::uint32_t max_tokens = 8,
-                                  bool stream = false,
-                                  std::map<std::string, std::string> headers = {});
+    pending_call
+    start_completion(std::size_t node, const std::string& prompt,
+                     std::uint32_t max_tokens = 8, bool stream = false,
+                     std::map<std::string, std::string> headers = {});
     http_result log_adjustment(std::size_t node, const std::string& key,
                                const std::string& body = "{\"gate\":1}");
     pending_call start_adjustment(std::size_t node, const std::string& key,
