ctl verbs and the program's commands

Cause: operators and teams need a client that tells done, refused, unreachable and unknown changes apart. Failed HTTP calls always carry a description.

--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -1,6 +1,93 @@
-#include "galenapulley/clock.hpp"
+#include "ctl/ctl.hpp"
+#include "ctl/exit_code.hpp"
+#include "node/run_node.hpp"
 
-int main()
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace galenapulley;
+
+namespace
+{
+
+constexpr const char* usage = "Usage:\n"
+                              "  galenapulley node --config FILE\n"
+                              "  galenapulley ctl VERB [OPTION...]\n"
+                              "  galenapulley --help | --version\n";
+
+int exit_value(exit_code code)
+{
+    return static_cast<int>(code);
+}
+
+int usage_error(const std::string& message)
+{
+    std::cerr << message << '\n' << usage;
+    return exit_value(exit_code::usage);
+}
+
+int run_node_command(int argc, char** argv)
+{
+    cxxopts::Options options("galenapulley node");
+    // clang-format off
+    options.add_options()
+        ("config", "Settings file (JSON)", cxxopts::value<std::string>(),
+            "FILE")
+        ("h,help", "Show this help");
+    // clang-format on
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0)
+    {
+        std::cout << options.help();
+        return exit_value(exit_code::done);
+    }
+    if (parsed.count("config") == 0 || !parsed.unmatched().empty())
+        return usage_error("node needs --config FILE and nothing else");
+    return run_node(parsed["config"].as<std::string>());
+}
+
+int run_command(int argc, char** argv)
+{
+    const std::string command = argc > 1 ? argv[1] : "";
+    if (command == "node")
+        return run_node_command(argc - 1, argv + 1);
+    if (command == "ctl")
+    {
+        const std::vector<std::string> args(argv + 2, argv + argc);
+        return exit_value(run_ctl(args, std::cout, std::cerr));
+    }
+    if (command == "--help" || command == "-h")
+        std::cout << usage;
+    else if (command == "--version")
+        std::cout << "galenapulley " GALENAPULLEY_VERSION "\n";
+    else
+        return usage_error(command.empty() ? "no command given"
+                                           : "unknown command: " + command);
+    return exit_value(exit_code::done);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
 {
-    return galenapulley::wall_time() > 0 ? 0 : 1;
+    // A caller that leaves must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    try
+    {
+        return run_command(argc, argv);
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        return usage_error(error.what());
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
 }
--- a/src/node/http_transfer.cpp
+++ b/src/node/http_transfer.cpp
@@ -120,16 +120,21 @@
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
 }
 
-transfer_error http_transfer::outcome(CURLcode code) const
+transfer_error http_transfer::outcome(CURLcode code)
 {
     if (code == CURLE_OK)
     {
         // libcurl also accepts an answer that ends within its headers.
         long status = 0;
         curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
-        return headers_complete_ && status >= 200 ? transfer_error::none
-                                                  : transfer_error::broken;
+        if (headers_complete_ && status >= 200)
+            return transfer_error::none;
+        result_.error_text = "the answer ended within its headers";
+        return transfer_error::broken;
     }
+    // libcurl doesn't fill the buffer for every error.
+    result_.error_text =
+        error_text_[0] != 0 ? error_text_.data() : curl_easy_strerror(code);
     if (!connected_)
         return transfer_error::not_connected;
     return code == CURLE_OPERATION_TIMEDOUT ? transfer_error::timed_out
@@ -142,7 +147,6 @@
     curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
     result_.error = error;
     result_.status = static_cast<int>(status);
-    result_.error_text = error_text_.data();
     if (auto done = std::exchange(done_, nullptr))
         done(std::move(result_));
 }
--- a/src/node/http_transfer.hpp
+++ b/src/node/http_transfer.hpp
@@ -29,7 +29,7 @@
     CURL* handle() const { return handle_.get(); }
 
     /// The transfer's outcome after libcurl has ended it with `code`.
-    transfer_error outcome(CURLcode code) const;
+    transfer_error outcome(CURLcode code);
     /// Calls `done`.
     void finish(transfer_error error);
 
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -97,6 +97,7 @@
     auto result = result_of(
         client, {.method = "POST", .url = "http://127.0.0.1:" + port});
     BOOST_TEST((result.error == transfer_error::not_connected));
+    BOOST_TEST(!result.error_text.empty());
 
     // The kernel drops further connections while the backlog is full.
     const auto full = raw::socket::listening(0);
