--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -63,6 +63,10 @@
         const auto address = free_address();
         std::vector<std::string> args{kind, "--listen", address};
         args.insert(args.end(), extra.begin(), extra.end());
+        if (std::string(kind) == "plain")
+            args.insert(args.end(),
+                        {"--journal", directory_ + "/plain" +
+                                          std::to_string(n) + ".journal"});
         list.push_back(std::make_unique<child_process>(
             standin, args, directory_ + "/" + kind + std::to_string(n) + ".log",
             address));
