--- a/tests/unit/shard_scheduler_test.cpp
+++ b/tests/unit/shard_scheduler_test.cpp
@@ -357,6 +357,22 @@
     }
 }
 
+// Guards against plain servers, which have no KV memory and send no reports,
+// that get no requests or stay cold.
+BOOST_AUTO_TEST_CASE(plain_servers_need_no_memory_and_no_reports)
+{
+    document.kind = service_kind::plain;
+    for (auto& it : document.back_ends)
+        it.kv_tokens = 0;
+    shard_scheduler plain("s/east/0", time, random);
+    plain.set_service(document);
+    BOOST_TEST(plain.free_slots(0) == 4U);
+    time.advance(2'000);
+    plain.tick();
+    BOOST_TEST(plain.free_slots(0) == 8U);
+    BOOST_TEST(is_granted(plain.request(query(0))));
+}
+
 // Guards against two owners that together grant more than the limit.
 BOOST_AUTO_TEST_CASE(allowances_of_successive_owners_add_up)
 {
