--- a/tests/unit/action_ledger_test.cpp
+++ b/tests/unit/action_ledger_test.cpp
@@ -224,6 +224,35 @@
     BOOST_TEST(node.ledger.background_writes() == 0U);
 }
 
+// Guards against memory that grows with every answer that can't be written.
+BOOST_FIXTURE_TEST_CASE(background_writes_are_bounded, bench)
+{
+    int started = 0;
+    for (int n = 0; n < 1100; ++n)
+    {
+        auto each = key;
+        each.idempotency_key = std::to_string(n);
+        node.ledger.begin({.key = each,
+                           .body_hash = 1,
+                           .attempt_id = "a" + std::to_string(n),
+                           .timeout = 1000},
+                          [&](const begin_result& it)
+                          { started += it.error.ok() ? 1 : 0; });
+    }
+    node.settle();
+    BOOST_TEST(started == 1100);
+    node.table.outage = true;
+    for (int n = 0; n < 1100; ++n)
+    {
+        auto each = key;
+        each.idempotency_key = std::to_string(n);
+        node.ledger.finish(each, "a" + std::to_string(n), {});
+    }
+    node.settle();
+    BOOST_TEST(node.ledger.background_writes() == 1024U);
+    BOOST_TEST(node.ledger.dropped_writes() == 76U);
+}
+
 // Guards against one transaction per call, and against a conflict of one call
 // that fails the others of its batch.
 BOOST_FIXTURE_TEST_CASE(batch_is_split_on_a_conflict, bench)
--- a/tests/unit/shard_claims_test.cpp
+++ b/tests/unit/shard_claims_test.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <set>
 
 using namespace galenapulley;
 using fakes::fault;
@@ -22,7 +23,8 @@
 struct process
 {
     process(manual_clock& clk, fakes::table_store& store,
-            const std::string& name, std::int64_t incarnation)
+            const std::string& name, std::int64_t incarnation,
+            shard_claims::machine_gone gone)
         : time(clk)
         , table(store)
         , lease(time, table,
@@ -38,7 +40,8 @@
               {.on_gained = [this](const owned_shard&) { ++gained; },
                .on_lost = [this](const std::string&, std::int64_t) { ++lost; },
                .on_lapsed = [this](const std::string&) { ++lapsed; },
-               .on_restored = {}})
+               .on_restored = {}},
+              std::move(gone))
     {
         claims.set_nodes({{"a", "east"}, {"b", "east"}, {"c", "east"}});
         claims.set_shards({shard});
@@ -72,12 +75,19 @@
     fakes::table_store store;
     std::vector<std::unique_ptr<process>> nodes;
     std::int64_t incarnation = 0;
+    std::set<std::string> gone;
 
     fleet_bench()
     {
         for (const auto* name : {"a", "b", "c"})
-            nodes.push_back(
-                std::make_unique<process>(time, store, name, ++incarnation));
+            nodes.push_back(make(name));
+    }
+
+    std::unique_ptr<process> make(const std::string& name)
+    {
+        return std::make_unique<process>(time, store, name, ++incarnation,
+                                         [this](const std::string& machine)
+                                         { return gone.count(machine) > 0; });
     }
 
     void run_for(msec length, msec step = 100)
@@ -193,12 +203,44 @@
     auto& slot =
         *std::find_if(nodes.begin(), nodes.end(),
                       [&](const auto& it) { return it.get() == former; });
-    slot = std::make_unique<process>(time, store, name, ++incarnation);
+    slot = make(name);
     run_for(5000);
     BOOST_TEST(row().lapsed.empty());
     BOOST_TEST(total(7) == 7U);
 }
 
+// Guards against a reduced allowance that never returns after the former
+// owner's machine was removed.
+BOOST_FIXTURE_TEST_CASE(removed_machine_confirms_the_end, fleet_bench)
+{
+    run_for(5000);
+    auto* former = owner();
+    former->paused = true;
+    run_for(14'000);
+    BOOST_TEST(row().lapsed.size() == 1U);
+    gone.insert(former->lease.own().machine);
+    run_for(3000);
+    BOOST_TEST(row().lapsed.empty());
+}
+
+// Guards against a shard that stays owned after its service was deleted, and
+// against an older epoch from gossip that replaces the owner known.
+BOOST_FIXTURE_TEST_CASE(shard_out_of_force_is_released, fleet_bench)
+{
+    run_for(5000);
+    auto* former = owner();
+    former->claims.learn_owner(shard, {"x", 0});
+    BOOST_TEST(former->claims.owner_of(shard)->epoch == 1);
+    former->claims.learn_owner(shard, {"x", 9});
+    BOOST_TEST(former->claims.owner_of(shard)->node == "x");
+    for (auto& it : nodes)
+        it->claims.set_shards({});
+    BOOST_TEST(former->lost == 1);
+    run_for(3000);
+    BOOST_TEST(row().node.empty());
+    BOOST_TEST(total(7) == 0U);
+}
+
 // Guards against a release that counts as a lapse or leaves the shard without
 // owner.
 BOOST_FIXTURE_TEST_CASE(released_shard_is_claimed_without_wait, fleet_bench)
--- a/tests/unit/stream_check_test.cpp
+++ b/tests/unit/stream_check_test.cpp
@@ -116,12 +116,13 @@
 
 std::vector<std::string> damaged(std::vector<std::string> data)
 {
-    const auto changes = *rc::gen::inRange(0, 4);
+    // Full size, so that all kinds of damage occur in small cases too.
+    const auto changes = *rc::gen::resize(100, rc::gen::inRange(0, 4));
     for (int n = 0; n < changes && data.size() > 1; ++n)
     {
         const auto at = *rc::gen::inRange<std::size_t>(0, data.size());
         const auto place = data.begin() + static_cast<std::ptrdiff_t>(at);
-        switch (*rc::gen::inRange(0, 6))
+        switch (*rc::gen::resize(100, rc::gen::inRange(0, 6)))
         {
         case 0:
             data.erase(place);
@@ -205,6 +206,22 @@
     BOOST_TEST((check.state() == stream_state::complete));
 }
 
+// Guards against an overlap with other text that passes as a repeat: the caller
+// would get the beginning of one answer and the end of another.
+BOOST_AUTO_TEST_CASE(overlap_must_repeat_the_text)
+{
+    for (const auto* text : {"w0", "other"})
+    {
+        stream_check check("t1");
+        check.feed(as_stream({text_event("t1", 0, "w0")}));
+        BOOST_TEST(check.feed(as_stream({text_event("t1", 0, text)})).empty());
+        const auto expected = text == std::string("w0")
+                                  ? stream_state::reading
+                                  : stream_state::wrong_stream;
+        BOOST_TEST((check.state() == expected));
+    }
+}
+
 // Guards against memory that grows with an event that never ends.
 BOOST_AUTO_TEST_CASE(endless_event_is_refused)
 {
