--- a/tests/fakes/table_fake.hpp
+++ b/tests/fakes/table_fake.hpp
@@ -27,6 +27,13 @@
     conflict
 };
 
+/// Any fault but `none`, chosen by a number.
+inline fault random_fault(std::size_t n)
+{
+    constexpr auto count = static_cast<std::size_t>(fault::conflict);
+    return static_cast<fault>(1 + n % count);
+}
+
 /// The rows that all clients share.
 struct table_store
 {
--- a/tests/unit/action_ledger_test.cpp
+++ b/tests/unit/action_ledger_test.cpp
@@ -6,7 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <array>
+#include <algorithm>
 #include <memory>
 
 using namespace galenapulley;
@@ -18,6 +18,20 @@
 const action_key key{
     .service = "gate", .customer = "ub", .idempotency_key = "k/1"};
 
+recorded_answer answer_of(int status, const std::string& body)
+{
+    return {.status = status, .content_type = "text/plain", .body = body};
+}
+
+action_request request_for(const action_key& each, const std::string& attempt,
+                           std::uint64_t body = 1, msec timeout = 1000)
+{
+    return {.key = each,
+            .body_hash = body,
+            .attempt_id = attempt,
+            .timeout = timeout};
+}
+
 struct ledger_node
 {
     ledger_node(manual_clock& clk, fakes::table_store& store,
@@ -25,13 +39,7 @@
         : time(clk)
         , table(store)
         , ledger(time, table,
-                 {.node = "n",
-                  .incarnation = number,
-                  .batches = {},
-                  .max_background = 1024,
-                  .max_background_bytes = 4'194'304,
-                  .first_retry = 250,
-                  .max_retry = 8000},
+                 {.node = "n", .incarnation = number, .batches = {}},
                  std::move(alive))
     {
     }
@@ -74,10 +82,7 @@
                std::uint64_t body = 1, msec timeout = 1000)
     {
         result.reset();
-        at.ledger.begin({.key = key,
-                         .body_hash = body,
-                         .attempt_id = attempt,
-                         .timeout = timeout},
+        at.ledger.begin(request_for(key, attempt, body, timeout),
                         [this](begin_result it) { result = std::move(it); });
     }
 
@@ -99,17 +104,13 @@
     node.settle();
     BOOST_TEST((state() == begin_state::started));
     const std::string body{"\0\xff{\"ok\":1}", 10};
-    node.ledger.finish(key, "a1",
-                       {.status = 201,
-                        .content_type = "application/json",
-                        .body = body,
-                        .too_large = false,
-                        .body_hash = 0});
+    node.ledger.finish(key, "a1", answer_of(201, body));
     node.settle();
     begin(other, "b1");
     other.settle();
     BOOST_TEST((state() == begin_state::replay));
     BOOST_TEST(result->answer.status == 201);
+    BOOST_TEST(result->answer.content_type == "text/plain");
     BOOST_TEST((result->answer.body == body));
     begin(other, "b2", 2);
     other.settle();
@@ -122,12 +123,9 @@
 {
     begin(node, "a1");
     node.settle();
-    node.ledger.finish(key, "a1",
-                       {.status = 200,
-                        .content_type = "text/plain",
-                        .body = std::string(max_recorded_body_bytes + 1, 'x'),
-                        .too_large = false,
-                        .body_hash = 0});
+    node.ledger.finish(
+        key, "a1",
+        answer_of(200, std::string(max_recorded_body_bytes + 1, 'x')));
     node.settle();
     begin(other, "b1");
     other.settle();
@@ -209,12 +207,7 @@
     begin(node, "a1");
     node.settle();
     node.table.outage = true;
-    node.ledger.finish(key, "a1",
-                       {.status = 200,
-                        .content_type = {},
-                        .body = "done",
-                        .too_large = false,
-                        .body_hash = 0});
+    node.ledger.finish(key, "a1", answer_of(200, "done"));
     node.settle(2000);
     BOOST_TEST((row().state == action_state::started));
     BOOST_TEST(node.ledger.background_writes() == 1U);
@@ -232,10 +225,7 @@
     {
         auto each = key;
         each.idempotency_key = std::to_string(n);
-        node.ledger.begin({.key = each,
-                           .body_hash = 1,
-                           .attempt_id = "a" + std::to_string(n),
-                           .timeout = 1000},
+        node.ledger.begin(request_for(each, "a" + std::to_string(n)),
                           [&](const begin_result& it)
                           { started += it.error.ok() ? 1 : 0; });
     }
@@ -266,10 +256,7 @@
         auto each = key;
         if (n != 7)
             each.idempotency_key = "n" + std::to_string(n);
-        node.ledger.begin({.key = each,
-                           .body_hash = 1,
-                           .attempt_id = "a" + std::to_string(n),
-                           .timeout = 1000},
+        node.ledger.begin(request_for(each, "a" + std::to_string(n)),
                           [&](const begin_result& it)
                           {
                               if (it.state == begin_state::started)
@@ -331,10 +318,7 @@
         const auto attempt = "t" + std::to_string(++attempts);
         auto answered = std::make_shared<bool>(false);
         nodes[n]->ledger.begin(
-            {.key = key,
-             .body_hash = 1,
-             .attempt_id = attempt,
-             .timeout = timeout},
+            request_for(key, attempt, 1, timeout),
             [this, n, attempt, answered, &replayed](const begin_result& it)
             {
                 RC_ASSERT(!*answered);
@@ -371,11 +355,7 @@
         ++runs;
         answer_known = true;
         nodes[n]->ledger.finish(key, attempt,
-                                {.status = 200,
-                                 .content_type = {},
-                                 .body = "run " + std::to_string(runs),
-                                 .too_large = false,
-                                 .body_hash = 0});
+                                answer_of(200, "run " + std::to_string(runs)));
     }
 
     void settle_all(msec length)
@@ -393,8 +373,6 @@
 {
     const auto n = choice % 3;
     auto& node = *race.nodes[n];
-    constexpr std::array faults{fault::lost_answer, fault::lost_request,
-                                fault::late, fault::refused, fault::conflict};
     if (roll < 20)
         race.begin(n, static_cast<msec>(choice % 400), replayed);
     else if (roll < 35)
@@ -404,7 +382,7 @@
     else if (roll < 65)
         node.table.apply();
     else if (roll < 75)
-        node.table.apply(faults.at(choice / 3 % 5));
+        node.table.apply(fakes::random_fault(choice / 3));
     else if (roll < 85)
         node.table.deliver();
     else if (roll < 88)
--- a/tests/unit/shard_claims_test.cpp
+++ b/tests/unit/shard_claims_test.cpp
@@ -7,7 +7,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <array>
 #include <memory>
 #include <set>
 
@@ -296,9 +295,8 @@
 
 void random_step(fleet_bench& bench, int roll, int choice)
 {
-    auto& node = *bench.nodes[static_cast<std::size_t>(choice) % 3];
-    constexpr std::array faults{fault::lost_answer, fault::lost_request,
-                                fault::late, fault::refused, fault::conflict};
+    auto& slot = bench.nodes[static_cast<std::size_t>(choice) % 3];
+    auto& node = *slot;
     if (roll < 30)
         bench.run_for(700);
     else if (roll < 45)
@@ -308,13 +306,16 @@
     else if (roll < 65)
         node.table.apply();
     else if (roll < 73)
-        node.table.apply(faults.at(static_cast<std::size_t>(choice / 3) % 5));
+        node.table.apply(
+            fakes::random_fault(static_cast<std::size_t>(choice / 3)));
     else if (roll < 80 && !node.paused)
         node.table.deliver();
     else if (roll < 85)
         node.table.apply_late();
     else if (roll < 91)
         node.paused = !node.paused;
+    else if (roll < 93)
+        slot = bench.make(node.lease.own().node);
     else if (roll < 97)
         node.table.outage = !node.table.outage;
     else
@@ -324,7 +325,7 @@
 } // namespace
 
 // Guards against a sum of allowances above the limit at any moment, with
-// pauses, lost and late answers, and outages of some or all nodes.
+// pauses, restarts, lost and late answers, and outages of some or all nodes.
 RC_BOOST_PROP(allowances_never_exceed_the_limit, ())
 {
     fleet_bench bench;
