--- a/src/node/plain_session.cpp
+++ b/src/node/plain_session.cpp
@@ -282,6 +282,8 @@
     const bool timed_out = result.error == transfer_error::timed_out;
     if (!route_->idempotent)
     {
+        // The row stays `started`, so that no repeat runs.
+        parts_.ledger.abandon(key_, attempt_id_);
         refuse(make_error(error_kind::outcome_unknown,
                           "the back end did not answer; the call may have run "
                           "and will not be repeated"));
