--- a/tests/unit/config_writer_test.cpp
+++ b/tests/unit/config_writer_test.cpp
@@ -99,7 +99,8 @@
     table.script({none, none, late_effect});
     result out;
     writer.execute(put_drafting(), "c1",
-                   [&](absl::StatusOr<config_document> it) { out = it; });
+                   [&](const absl::StatusOr<config_document>& it)
+                   { out = it; });
     table.run_all();
     time.advance(50);
     writer.tick();
@@ -124,7 +125,8 @@
     table.set_fault(outage);
     result out;
     writer.execute(put_drafting(0), "c1",
-                   [&](absl::StatusOr<config_document> it) { out = it; });
+                   [&](const absl::StatusOr<config_document>& it)
+                   { out = it; });
     settle();
     BOOST_TEST((kind_of_result(out) == error_kind::outcome_unknown));
     BOOST_TEST(out->status().message().find("c1") != absl::string_view::npos);
