--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -275,7 +275,7 @@
 void node::run_gossip_tick()
 {
     const auto now = clock_.now();
-    const auto window = settings_.view_max_age;
+    const auto window = freshness_.heard_window(now);
     const auto resets = freshness_.resets();
     freshness_.tick(now,
                     {.known_peers = members_.known_peers(),
@@ -287,6 +287,12 @@
         control_counts_.increment(0);
         sync_.read_soon();
     }
+    if (members_.superseded_by() && !stopping_)
+    {
+        spdlog::error("a newer process runs as this node; stopping");
+        begin_stop();
+        return;
+    }
     std::vector<known_node> nodes;
     for (const auto* it : members_.live_members(now))
         nodes.push_back({.node = it->node, .zone = it->zone});
