Node: run the fast tick only while requests wait

An idle node woke 100 times a second to tick the permit desk and the ledger, which were empty. This was most of its processor time.

The 10 ms timer now runs while requests are in progress, questions or queues hold something, or the ledger has something due. New requests and peer messages other than gossip start it; the control tick of 100 ms does the work in between.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,7 +18,6 @@
 namespace
 {
 
-constexpr msec fast_period = 10_ms;
 constexpr msec control_period = 100_ms;
 constexpr msec gossip_period = 1000_ms;
 constexpr msec vm_list_period = 5000_ms;
@@ -221,7 +220,6 @@
 
 void node::start_timers()
 {
-    loop_.call_every(fast_period, [this] { run_fast_tick(); });
     loop_.call_every(control_period, [this] { run_control_tick(); });
     loop_.call_every(gossip_period, [this] { run_gossip_tick(); });
     loop_.call_every(vm_list_period, [this] { read_vm_list(); });
@@ -242,15 +240,10 @@
     spdlog::info("node {} stopped", settings_.node);
 }
 
-void node::run_fast_tick()
-{
-    desk_.tick();
-    ledger_.tick();
-}
-
 void node::run_control_tick()
 {
     const auto now = clock_.now();
+    run_fast_tick();
     lease_.tick();
     claims_.tick();
     sync_.set_known_peers(members_.known_peers());
@@ -341,6 +334,7 @@
         on_gossip(message);
         return;
     }
+    wake_fast_tick();
     config_.on_message(message, is_settled());
     monitor_.on_message(message);
     desk_.on_message(message);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -75,6 +75,9 @@
 
     // Periodic work.
     void run_fast_tick();
+    /// Starts the fast tick unless it runs already. Called when work arrives.
+    void wake_fast_tick();
+    bool needs_fast_tick() const;
     void run_control_tick();
     void run_gossip_tick();
     void read_vm_list();
@@ -151,6 +154,8 @@
     bool stopping_ = false;
     bool released_ = false;
     bool was_fresh_ = false;
+    /// 0 while nothing waits for a permit or for the ledger.
+    std::uint64_t fast_timer_ = 0;
 };
 
 } // namespace galenapulley
--- a/src/node/node_requests.cpp
+++ b/src/node/node_requests.cpp
@@ -20,12 +20,38 @@
 namespace
 {
 
+// Grants and batches of the ledger wait up to this long. While nothing waits,
+// the control tick does their work: 100 wake-ups a second were most of the
+// processor time of an idle node.
+constexpr msec fast_period = 10_ms;
 constexpr std::size_t max_listed_nodes = 8;
 /// How long callers may keep the answer of GET /v1/nodes.
 constexpr msec nodes_valid = 10'000_ms;
 
 } // namespace
 
+void node::run_fast_tick()
+{
+    desk_.tick();
+    ledger_.tick();
+    if (needs_fast_tick())
+        wake_fast_tick();
+    else if (fast_timer_ != 0)
+        loop_.cancel(std::exchange(fast_timer_, 0));
+}
+
+void node::wake_fast_tick()
+{
+    if (fast_timer_ == 0)
+        fast_timer_ =
+            loop_.call_every(fast_period, [this] { run_fast_tick(); });
+}
+
+bool node::needs_fast_tick() const
+{
+    return sessions() > 0 || desk_.has_waiting() || ledger_.next_due();
+}
+
 bool node::refuse_if_unable(const std::shared_ptr<http_exchange>& exchange)
 {
     const auto now = clock_.now();
@@ -64,6 +90,7 @@
         parts_, number, std::move(request), exchange,
         [this, number] { completions_.erase(number); });
     completions_.emplace(number, session);
+    wake_fast_tick();
     session->start();
 }
 
@@ -78,6 +105,7 @@
         parts_, number, service_name, path, std::move(request), exchange,
         [this, number] { plains_.erase(number); });
     plains_.emplace(number, session);
+    wake_fast_tick();
     session->start();
 }
 
--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -332,6 +332,13 @@
     send_keep_alives();
 }
 
+bool permit_desk::has_waiting() const
+{
+    return !waiting_.empty() ||
+           std::any_of(schedulers_.begin(), schedulers_.end(),
+                       [](const auto& it) { return it.second->queued() > 0; });
+}
+
 void permit_desk::on_owner_changed(const std::string& shard)
 {
     const auto picker = pickers_.find(service_of_shard(shard));
--- a/src/node/permit_desk.hpp
+++ b/src/node/permit_desk.hpp
@@ -111,6 +111,8 @@
     /// Null if this node does not own the shard.
     shard_scheduler* find_scheduler(const std::string& shard);
     std::size_t waiting() const { return waiting_.size(); }
+    /// Whether a request waits here, as a question or in a queue of this node.
+    bool has_waiting() const;
     std::size_t granted() const { return granted_.size(); }
 
 private:
