Membership: repeat two known shard owners per message, not eight

Every gossip message repeated up to eight owners that nearly every receiver knew. With the six shards of today's users they were a third of the bytes. New owners and receivers that just joined still get up to eight entries; the repeats only mend what was lost.

--- a/src/galenapulley/membership.cpp
+++ b/src/galenapulley/membership.cpp
@@ -331,7 +331,7 @@
     if (to != nullptr)
         write_entry(*to, false, *message->add_members());
     add_members(*message, to, entries, now);
-    add_shard_owners(*message);
+    add_shard_owners(*message, to);
     if (fill_)
         fill_(*message, options_.max_strikes);
     return message;
@@ -388,7 +388,7 @@
     }
 }
 
-void membership::add_shard_owners(wire::gossip& message)
+void membership::add_shard_owners(wire::gossip& message, const member* to)
 {
     const auto add = [&](const shard_owner& it)
     {
@@ -402,6 +402,11 @@
         return options_.max_shard_owners >
                static_cast<std::size_t>(message.shard_owners_size());
     };
+    // Repeats only mend what was lost. With eight of them in every message,
+    // owners were a third of the bytes of gossip.
+    const bool is_new = to == nullptr || to->news_left > 0;
+    const std::size_t repeated =
+        is_new ? options_.max_shard_owners : options_.repeated_shard_owners;
     std::set<const owner_record*> sent;
     for (auto& [shard, it] : owners_)
     {
@@ -414,7 +419,8 @@
     rotate(owners_, owner_cursor_,
            [&](owner_record& it)
            {
-               if (!space())
+               if (!space() || static_cast<std::size_t>(
+                                   message.shard_owners_size()) >= repeated)
                    return false;
                if (sent.count(&it) == 0)
                    add(it.owner);
--- a/src/galenapulley/membership.hpp
+++ b/src/galenapulley/membership.hpp
@@ -39,7 +39,10 @@
     /// For up to 35 members; see time_scale.
     msec suspect_after = 5000;
     msec drop_after = 30'000;
+    /// Shard owners in a message: new ones, or any for a receiver that just
+    /// joined; and those that are repeated to all others.
     std::size_t max_shard_owners = 8;
+    std::size_t repeated_shard_owners = 2;
     std::size_t max_strikes = 8;
     std::uint64_t seed = 1;
 };
@@ -185,7 +188,7 @@
     bool wants_full_entry(const member* to);
     void add_members(wire::gossip& message, const member* to,
                      std::size_t entries, msec now);
-    void add_shard_owners(wire::gossip& message);
+    void add_shard_owners(wire::gossip& message, const member* to);
     std::size_t news_budget() const;
     /// Factor on suspect_after and drop_after, by the size of the fleet.
     msec time_scale() const;
