Node: only shard owners read the VM list

All nodes read the list every 5 s. Its length grows with the fleet, so the bytes grew with the square: 36 KB every 5 s per node with 1,020 machines. Only the schedulers of owned shards and the check of lapsed owners use it.

A node without a shard no longer reads it and drops what it knew about machines that are gone; a node that gains a shard reads it at once.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -223,12 +223,7 @@
     loop_.call_every(control_period, [this] { run_control_tick(); });
     loop_.call_every(gossip_period, [this] { run_gossip_tick(); });
     loop_.call_every(vm_list_period, [this] { read_vm_list(); });
-    loop_.post(
-        [this]
-        {
-            read_vm_list();
-            run_gossip_tick();
-        });
+    loop_.post([this] { run_gossip_tick(); });
 }
 
 void node::run()
@@ -302,6 +297,13 @@
 
 void node::read_vm_list()
 {
+    // Only owners act on the list. Read by all nodes it grows with the square
+    // of the fleet. An old list may not tell who is gone after a new claim.
+    if (claims_.owned().empty())
+    {
+        vm_list_read_ = false;
+        return;
+    }
     vms_.list(vm_list_timeout,
               [this](const absl::StatusOr<std::vector<vm_entry>>& list)
               {
@@ -432,6 +434,8 @@
     members_.note_shard_owner(
         {.shard = shard.shard, .node = settings_.node, .epoch = shard.epoch});
     desk_.on_shard_gained(shard);
+    if (!vm_list_read_)
+        read_vm_list();
 }
 
 void node::on_shard_lost(const std::string& shard, std::int64_t epoch)
