Config: load only the rows that changed

Every node loaded all service documents at each change and once a minute. A document with 2,700 customers and 110 back ends has a row of 421 KB.

The row config_head now lists the id of each document's newest change. A node reads only the rows whose newest change it does not hold; a document that a peer pushed is not read again.

--- a/src/galenapulley/config_document.cpp
+++ b/src/galenapulley/config_document.cpp
@@ -27,6 +27,48 @@
                      change_id) != earlier_change_ids.end();
 }
 
+void head_record::note(const document_change& change)
+{
+    const auto it = std::find_if(changes.begin(), changes.end(),
+                                 [&](const document_change& entry)
+                                 { return entry.name == change.name; });
+    if (it == changes.end())
+        changes.push_back(change);
+    else
+        *it = change;
+}
+
+std::string encode_head(const head_record& head)
+{
+    auto list = nlohmann::json::array();
+    for (const auto& it : head.changes)
+        list.push_back({{"name", it.name}, {"change_id", it.change_id}});
+    return nlohmann::json{{"changes", list}}.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<head_record> decode_head(const table_row& row)
+{
+    head_record head;
+    if (row.version == 0)
+        return head;
+    const auto value = nlohmann::json::parse(row.value, nullptr, false);
+    if (!value.is_object() || !value.contains("changes"))
+        return std::nullopt;
+    try
+    {
+        for (const auto& it : value.at("changes"))
+            head.changes.push_back(
+                {.name = it.at("name").get<std::string>(),
+                 .change_id = it.at("change_id").get<std::string>()});
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+    return head;
+}
+
 std::string service_row(std::string_view service_name)
 {
     return std::string(services_prefix) + std::string(service_name);
--- a/src/galenapulley/config_document.hpp
+++ b/src/galenapulley/config_document.hpp
@@ -5,6 +5,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,28 @@
     bool contains_change(const std::string& change_id) const;
 };
 
+/// The newest change of one document.
+struct document_change
+{
+    std::string name;
+    std::string change_id;
+};
+
+/// Value of the row config_head: the newest change of every document, so that
+/// a reader loads only those rows that it lacks.
+struct head_record
+{
+    std::vector<document_change> changes;
+
+    /// Replaces the document's entry.
+    void note(const document_change& change);
+};
+
+std::string encode_head(const head_record& head);
+/// An absent row gives an empty record; none if the row does not list the
+/// documents.
+std::optional<head_record> decode_head(const table_row& row);
+
 /// Row key of a service's document.
 std::string service_row(std::string_view service_name);
 
--- a/src/galenapulley/config_sync.hpp
+++ b/src/galenapulley/config_sync.hpp
@@ -100,6 +100,11 @@
     void read_head();
     void on_head(msec sent_at, const absl::StatusOr<table_row>& row);
     void load(msec sent_at, std::int64_t head);
+    /// Rows of which this node does not hold the newest change.
+    std::vector<std::string> lacking(const head_record& head) const;
+    void load_rows(msec sent_at, std::int64_t head,
+                   std::vector<std::string> rows);
+    void end_load(msec sent_at, std::int64_t head);
     void on_services(msec sent_at, std::int64_t head,
                      const absl::StatusOr<std::vector<table_row>>& rows);
     void on_fleet(msec sent_at, std::int64_t head,
--- a/src/galenapulley/config_writer.cpp
+++ b/src/galenapulley/config_writer.cpp
@@ -21,6 +21,8 @@
     /// When to read the rows again; none while a call is under way.
     std::optional<msec> next_try;
     std::int64_t head_version = 0;
+    /// None if the head read does not list the documents.
+    std::optional<head_record> head;
     /// Lower versions read are stale.
     std::int64_t least_version = 0;
     /// Version of the document that a commit without a known outcome was
@@ -117,6 +119,7 @@
         return;
     }
     it->head_version = row->version;
+    it->head = decode_head(*row);
     table_.read(it->change->document_name(), call_timeout(*it),
                 [this, weak = std::weak_ptr(it)](
                     const absl::StatusOr<table_row>& document)
@@ -166,11 +169,20 @@
 {
     const auto& name = former.document.name;
     const std::string head(config_head_row);
+    // A row that does not list the documents stays without a list: an
+    // incomplete one would hide documents from readers.
+    auto head_value = it->change_id;
+    if (it->head)
+    {
+        auto record = *it->head;
+        record.note({.name = name, .change_id = it->change_id});
+        head_value = encode_head(record);
+    }
     const table_transaction transaction{
         .conditions = {{name, former.document.version},
                        {head, it->head_version}},
         .writes = {{name, encode_row(former, it->change_id, body)},
-                   {head, it->change_id}}};
+                   {head, head_value}}};
     it->committing = true;
     table_.commit(transaction, call_timeout(*it),
                   [this, weak = std::weak_ptr(it),
--- a/tests/unit/config_sync_test.cpp
+++ b/tests/unit/config_sync_test.cpp
@@ -59,6 +59,17 @@
         table.put("config_head", "c");
     }
 
+    /// Changes a document and the list of the head, as a writer does.
+    void listed_change(const std::string& key, const std::string& body,
+                       const std::string& change_id)
+    {
+        list.note({.name = key, .change_id = change_id});
+        table.put(key, encode_row({}, change_id, body));
+        table.put("config_head", encode_head(list));
+    }
+
+    head_record list;
+
     /// Lets `to` pull from `from`.
     static void pull(node& to, const node& from, const std::string& name,
                      bool settled)
@@ -137,6 +148,66 @@
     BOOST_TEST(one.registry.version_of("services/drafting") == 2);
 }
 
+// Guards against nodes that load every document when one of them changed, or
+// one that they were sent already: at the size of the target this takes 40
+// times the bytes allowed.
+BOOST_FIXTURE_TEST_CASE(only_rows_that_changed_are_loaded, fixture)
+{
+    listed_change("services/drafting", sample_service().dump(), "c1");
+    run_for(one, 1000);
+    listed_change("fleet",
+                  R"({"withdrawn_zones":["z"],"withdrawn_machines":[]})", "c2");
+    one.sync.read_soon();
+    one.sync.tick();
+    std::vector<std::string> calls;
+    while (table.waiting() > 0)
+    {
+        calls.push_back(table.call_name(0));
+        table.run();
+    }
+    BOOST_TEST(
+        (calls == std::vector<std::string>{"read config_head", "read fleet"}));
+    BOOST_TEST(one.registry.current_fleet()->withdrawn_zones.count("z") == 1U);
+
+    listed_change("services/drafting", sample_service().dump(), "c3");
+    BOOST_TEST(one.registry
+                   .apply({.name = "services/drafting",
+                           .version = 3,
+                           .change_id = "c3",
+                           .body = sample_service().dump()})
+                   .ok());
+    const auto before = table.calls_run();
+    run_for(one, 70'000);
+    // One read of the head every 3 s, and nothing else.
+    BOOST_TEST(table.calls_run() - before <= 28U);
+    BOOST_TEST(one.sync.head() == 4);
+    BOOST_TEST(time.now() - *one.sync.last_read() <= 3600);
+}
+
+// Guards against a listed row that was answered outdated, or not at all, and
+// is taken for loaded.
+BOOST_FIXTURE_TEST_CASE(outdated_listed_rows_are_repaired, fixture)
+{
+    listed_change("services/drafting", sample_service().dump(), "c1");
+    run_for(one, 1000);
+    const auto read = *one.sync.last_read();
+    const auto version = one.registry.version_of("services/drafting");
+    listed_change("services/drafting", sample_service().dump(), "c2");
+    using enum table_fault;
+    table.script({none, outage});
+    one.sync.read_soon();
+    one.sync.tick();
+    table.run_all();
+    BOOST_TEST(*one.sync.last_read() == read);
+    table.script({none, stale});
+    one.sync.read_soon();
+    one.sync.tick();
+    table.run_all();
+    BOOST_TEST(one.registry.version_of("services/drafting") == version);
+    run_for(one, 70'000);
+    BOOST_TEST(one.registry.version_of("services/drafting") == version + 1);
+}
+
 // Guards against one damaged row that keeps every node from serving.
 BOOST_FIXTURE_TEST_CASE(a_damaged_row_is_reported_and_skipped, fixture)
 {
--- a/tests/unit/config_writer_test.cpp
+++ b/tests/unit/config_writer_test.cpp
@@ -79,6 +79,32 @@
     BOOST_TEST(table.history("services/drafting").size() == 2U);
 }
 
+// Guards against a head that lists an outdated change, or that lists only some
+// of the documents, which would hide the others from readers.
+BOOST_FIXTURE_TEST_CASE(the_head_lists_the_newest_changes, fixture)
+{
+    execute(put_drafting(), "c1");
+    execute(std::make_shared<withdraw_zone>("z"), "c2");
+    execute(put_drafting(std::nullopt, 2), "c3");
+    const auto head =
+        decode_head({.key = "config_head",
+                     .version = 3,
+                     .value = table.history("config_head").back()});
+    BOOST_TEST_REQUIRE(head.has_value());
+    BOOST_TEST_REQUIRE(head->changes.size() == 2U);
+    BOOST_TEST(head->changes[0].name == "services/drafting");
+    BOOST_TEST(head->changes[0].change_id == "c3");
+    BOOST_TEST(head->changes[1].name == "fleet");
+    BOOST_TEST(head->changes[1].change_id == "c2");
+
+    table.put("config_head", "a head without a list");
+    execute(put_drafting(std::nullopt, 3), "c4");
+    BOOST_TEST(!decode_head({.key = "config_head",
+                             .version = 5,
+                             .value = table.history("config_head").back()})
+                    .has_value());
+}
+
 // Guards against a lost answer that is taken for a failure, or that makes the
 // change commit twice.
 BOOST_FIXTURE_TEST_CASE(a_lost_answer_is_read_back, fixture)
