--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,8 @@
 constexpr msec vm_list_timeout = 2000_ms;
 constexpr msec settled_after = 10'000_ms;
 constexpr msec release_timeout = 3000_ms;
+/// Longest time that a stop waits for records of actions.
+constexpr msec record_grace = 10'000_ms;
 
 std::uint16_t port_of(const std::string& address)
 {
@@ -485,8 +487,13 @@
 {
     const bool drained = stopping_ && sessions() == 0 &&
                          clock_.now() - stop_began_ > settings_.drain;
-    if (!drained || std::exchange(released_, true))
+    if (!drained || released_)
         return;
+    // Records of finished actions are written first, for a bounded time.
+    if (ledger_.background_writes() > 0 &&
+        clock_.now() - stop_began_ < settings_.drain + record_grace)
+        return;
+    released_ = true;
     lease_.release([this] { loop_.stop(); });
     // The store may be away; the lease then lapses by itself.
     loop_.call_after(release_timeout, [this] { loop_.stop(); });
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -25,10 +25,14 @@
 constexpr msec install_timeout = 30'000_ms;
 constexpr msec poll_interval = 25_ms;
 
-std::string program(const char* variable, const char* fallback)
+/// Path of a program from the environment, or beside the running test.
+std::string program(const char* variable, const char* beside)
 {
     const char* path = std::getenv(variable);
-    return path != nullptr ? path : fallback;
+    if (path != nullptr)
+        return path;
+    const auto self = std::filesystem::read_symlink("/proc/self/exe");
+    return (self.parent_path() / beside).string();
 }
 
 std::string make_directory()
@@ -81,7 +85,7 @@
     for (const auto& it : plains_)
         wait_listening(it->address(), "/stats");
 
-    const auto binary = program("GALENAPULLEY_BINARY", "galenapulley");
+    const auto binary = program("GALENAPULLEY_BINARY", "../galenapulley");
     const auto count = options_.zones * options_.nodes_per_zone;
     for (std::size_t n = 0; n < count; ++n)
         nodes_.push_back(std::make_unique<child_process>(
