Limits: a customer's limit holds over all shards; slow callers are dropped

Cause: max_in_flight held per shard, so a customer had it three times over with three zones. A caller that stops reading kept its unsent answer in memory without end. Change: each shard grants its part of the limit, by the number of shards with admitted back ends; a refusal by one shard tries the next. A caller that takes nothing for 60 s is disconnected. The exchange has its own files.

--- a/src/galenapulley/shard_scheduler.cpp
+++ b/src/galenapulley/shard_scheduler.cpp
@@ -162,6 +162,11 @@
     withdrawn_ = static_cast<std::size_t>(
         std::count_if(service_.back_ends.begin(), service_.back_ends.end(),
                       [&](const back_end& it) { return !is_admitted(it); }));
+    std::set<std::string> active;
+    for (const auto& it : service_.back_ends)
+        if (is_admitted(it))
+            active.insert(service_.shard_of(it));
+    active_shards_ = std::max(1U, static_cast<std::uint32_t>(active.size()));
     for (auto& it : loads_)
         it.admitted = is_admitted(it.target());
     recheck_queue_ = true;
--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -164,6 +164,8 @@
     msec expected_wait(const permit_query& query) const;
     msec expected_start(const permit_query& query) const;
     permit_decision enqueue(permit_query&& query);
+    /// This shard's part of a customer's limit, which holds over all shards.
+    std::uint32_t share_of_limit(std::uint32_t limit) const;
     customer_load& load_of(const std::string& customer);
 
     // Placement.
@@ -241,6 +243,8 @@
     std::size_t next_class_ = 0;
     /// Back ends of the whole service that documents take out of service.
     std::size_t withdrawn_ = 0;
+    /// Shards of the service that have an admitted back end; at least 1.
+    std::uint32_t active_shards_ = 1;
     /// Classes from this one on give way to shorter ones.
     std::size_t first_yielding_ = static_cast<std::size_t>(-1);
     /// Whether queued requests have to be checked for a usable back end.
--- a/src/galenapulley/shard_scheduler_admission.cpp
+++ b/src/galenapulley/shard_scheduler_admission.cpp
@@ -82,13 +82,18 @@
         strikes_->is_quarantined(query.fingerprint, now_))
         return error_kind::request_quarantined;
     const auto& customer = load_of(query.customer);
-    if (customer.in_flight >= customer.max_in_flight)
+    if (customer.in_flight >= share_of_limit(customer.max_in_flight))
         return error_kind::customer_limit;
     if (!is_possible(query))
         return error_kind::no_back_end;
     return std::nullopt;
 }
 
+std::uint32_t shard_scheduler::share_of_limit(std::uint32_t limit) const
+{
+    return (limit + active_shards_ - 1) / active_shards_;
+}
+
 shard_scheduler::customer_load&
 shard_scheduler::load_of(const std::string& customer)
 {
--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -21,8 +21,7 @@
 /// Refusals that another shard of the service would repeat.
 bool is_final(error_kind kind)
 {
-    return kind == error_kind::customer_limit ||
-           kind == error_kind::request_quarantined ||
+    return kind == error_kind::request_quarantined ||
            kind == error_kind::bad_request;
 }
 
--- /dev/null
+++ b/src/node/pistache_exchange.cpp
@@ -0,0 +1,286 @@
+#include "node/pistache_exchange.hpp"
+
+#include "node/worker_transport.hpp"
+
+#include <pistache/peer.h>
+
+#include <linux/sock_diag.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <ostream>
+#include <utility>
+
+namespace galenapulley
+{
+
+using namespace Pistache;
+
+namespace
+{
+
+/// A header of an answer. Pistache 0.0.5 doesn't send those added as raw.
+class answer_header final : public Http::Header::Header
+{
+public:
+    answer_header(std::string name, std::string value)
+        : name_(std::move(name)), value_(std::move(value))
+    {
+    }
+
+    const char* name() const override { return name_.c_str(); }
+    void write(std::ostream& stream) const override { stream << value_; }
+    std::uint64_t hash() const override
+    {
+        return Http::Header::detail::hash(name());
+    }
+
+private:
+    std::string name_;
+    std::string value_;
+};
+
+/// An empty socket takes so much at once, however small its buffer is.
+constexpr std::size_t slice_bytes = 2 << 10;
+
+/// Whether the caller's socket takes so many bytes of body and a head at once.
+bool socket_has_room(const Http::ResponseWriter& writer, std::size_t bytes)
+{
+    // The kernel accounts up to twice the size of the data, and more for small
+    // segments.
+    constexpr std::size_t overhead_factor = 2;
+    constexpr std::size_t head_bytes = 4 << 10;
+    const auto peer = writer.getPeer();
+    if (!peer)
+        return true;
+    std::array<std::uint32_t, SK_MEMINFO_VARS> info{};
+    socklen_t size = sizeof(info);
+    if (getsockopt(peer->fd(), SOL_SOCKET, SO_MEMINFO, info.data(), &size) != 0)
+        return true;
+    const std::size_t queued = info[SK_MEMINFO_WMEM_QUEUED];
+    if (queued == 0 && bytes <= slice_bytes)
+        return true;
+    return queued + overhead_factor * bytes + head_bytes <=
+           info[SK_MEMINFO_SNDBUF];
+}
+
+} // namespace
+
+pistache_exchange::pistache_exchange(std::weak_ptr<worker_transport> worker,
+                                     Http::ResponseWriter writer,
+                                     std::function<void()> completed)
+    : worker_(std::move(worker))
+    , writer_(std::move(writer))
+    , completed_(std::move(completed))
+{
+}
+
+template <typename Task>
+void pistache_exchange::run(Task task)
+{
+    const auto worker = worker_.lock();
+    if (!worker)
+        return;
+    // The task runs inside the worker, so the reference stays valid.
+    worker->post(
+        [self = shared_from_this(), task = std::move(task),
+         target = worker.get()]() mutable
+        {
+            // The peer may have left while the task was queued.
+            if (!self->writer_ || !self->writer_->getPeer())
+                return;
+            task(*target);
+        });
+}
+
+void pistache_exchange::respond(http_answer answer)
+{
+    run(
+        [this, answer = std::move(answer)](worker_transport& worker) mutable
+        {
+            if (head_ || stream_)
+                return;
+            if (!socket_has_room(*writer_, answer.body.size()))
+            {
+                pending_ = std::move(answer.body);
+                head_ = std::move(answer);
+                finishing_ = true;
+                pump(worker);
+                return;
+            }
+            set_head(answer);
+            writer_->send(Http::Code(answer.status), answer.body);
+            // A queued write would go to the bare descriptor, which may
+            // belong to another caller by then.
+            worker.flush();
+            complete();
+        });
+}
+
+void pistache_exchange::start_stream(http_answer head)
+{
+    run(
+        [this, head = std::move(head)](worker_transport& worker) mutable
+        {
+            if (head_ || stream_)
+                return;
+            head_ = std::move(head);
+            pump(worker);
+        });
+}
+
+void pistache_exchange::write(std::string chunk)
+{
+    run(
+        [this, chunk = std::move(chunk)](worker_transport& worker)
+        {
+            if ((!head_ && !stream_) || finishing_)
+                return;
+            pending_ += chunk;
+            pump(worker);
+        });
+}
+
+void pistache_exchange::finish_stream()
+{
+    run(
+        [this](worker_transport& worker)
+        {
+            if (!head_ && !stream_)
+                return;
+            finishing_ = true;
+            pump(worker);
+        });
+}
+
+void pistache_exchange::abort()
+{
+    run([this](worker_transport&) { disconnect(); });
+}
+
+void pistache_exchange::on_disconnect(std::function<void()> callback)
+{
+    const auto worker = worker_.lock();
+    if (!worker)
+        return;
+    worker->post(
+        [self = shared_from_this(), callback = std::move(callback)]
+        {
+            if (self->gone_)
+                callback();
+            else if (self->writer_)
+                self->disconnected_ = callback;
+        });
+}
+
+void pistache_exchange::connection_lost()
+{
+    gone_ = true;
+    stream_.reset();
+    writer_.reset();
+    completed_ = nullptr;
+    if (auto callback = std::exchange(disconnected_, nullptr))
+        callback();
+}
+
+// Writes what the socket takes at once and keeps the rest for later.
+// Pistache's flush() spins until the caller reads, and stops every other
+// connection of the worker meanwhile.
+void pistache_exchange::pump(worker_transport& worker)
+{
+    if (retry_scheduled_)
+        return;
+    while (head_ || !pending_.empty() || finishing_)
+    {
+        if (!socket_has_room(*writer_, slice_bytes))
+        {
+            wait_for_room(worker);
+            return;
+        }
+        stalled_since_ = 0;
+        if (head_)
+            begin_stream();
+        else if (!pending_.empty())
+            write_slice();
+        else
+        {
+            stream_->ends();
+            worker.flush();
+            complete();
+            return;
+        }
+    }
+}
+
+void pistache_exchange::wait_for_room(worker_transport& worker)
+{
+    const auto now = steady_clock().now();
+    if (stalled_since_ == 0)
+        stalled_since_ = now;
+    if (now - stalled_since_ > stall_limit)
+    {
+        disconnect();
+        return;
+    }
+    retry_scheduled_ = true;
+    worker.retry_later([self = shared_from_this(), &worker]
+                       { self->retry(worker); });
+}
+
+void pistache_exchange::retry(worker_transport& worker)
+{
+    retry_scheduled_ = false;
+    if (writer_ && writer_->getPeer())
+        pump(worker);
+}
+
+void pistache_exchange::begin_stream()
+{
+    set_head(*head_);
+    stream_.emplace(writer_->stream(Http::Code(head_->status), max_chunk));
+    stream_->flush();
+    head_.reset();
+}
+
+void pistache_exchange::write_slice()
+{
+    const auto n = std::min(slice_bytes, pending_.size() - written_);
+    stream_->write(pending_.data() + written_, static_cast<std::streamsize>(n));
+    stream_->flush();
+    written_ += n;
+    if (written_ == pending_.size())
+    {
+        pending_.clear();
+        written_ = 0;
+    }
+}
+
+void pistache_exchange::set_head(const http_answer& answer)
+{
+    auto& headers = writer_->headers();
+    headers.add(
+        std::make_shared<answer_header>("Content-Type", answer.content_type));
+    for (const auto& it : answer.headers)
+        headers.add(std::make_shared<answer_header>(it.first, it.second));
+}
+
+void pistache_exchange::disconnect()
+{
+    const auto peer = writer_->getPeer();
+    complete();
+    if (peer)
+        ::shutdown(peer->fd(), SHUT_RDWR);
+}
+
+void pistache_exchange::complete()
+{
+    stream_.reset();
+    writer_.reset();
+    disconnected_ = nullptr;
+    if (auto callback = std::exchange(completed_, nullptr))
+        callback();
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/node/pistache_exchange.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "node/http_server.hpp"
+
+#include <pistache/http.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace galenapulley
+{
+
+class worker_transport;
+
+/// One request of a connection of a worker. Its state is touched on the worker
+/// thread only.
+class pistache_exchange final
+    : public http_exchange,
+      public std::enable_shared_from_this<pistache_exchange>
+{
+public:
+    pistache_exchange(std::weak_ptr<worker_transport> worker,
+                      Pistache::Http::ResponseWriter writer,
+                      std::function<void()> completed);
+
+    void respond(http_answer answer) override;
+    void start_stream(http_answer head) override;
+    void write(std::string chunk) override;
+    void finish_stream() override;
+    void abort() override;
+    void on_disconnect(std::function<void()> callback) override;
+
+    /// Called on the worker thread when the connection ends.
+    void connection_lost();
+
+private:
+    static constexpr std::size_t max_chunk = 64 << 10;
+    /// A caller that takes nothing for this long is disconnected, so that what
+    /// waits for it does not stay in memory.
+    static constexpr msec stall_limit = 60'000_ms;
+
+    template <typename Task>
+    void run(Task task);
+    void pump(worker_transport& worker);
+    void wait_for_room(worker_transport& worker);
+    void retry(worker_transport& worker);
+    void begin_stream();
+    void write_slice();
+    void set_head(const http_answer& answer);
+    void disconnect();
+    void complete();
+
+    /// Expired once the server has stopped.
+    std::weak_ptr<worker_transport> worker_;
+    std::optional<Pistache::Http::ResponseWriter> writer_;
+    std::optional<Pistache::Http::ResponseStream> stream_;
+    /// Head of a stream that is not written yet.
+    std::optional<http_answer> head_;
+    /// Body that the socket has not taken yet, from written_ on.
+    std::string pending_;
+    std::size_t written_ = 0;
+    bool finishing_ = false;
+    bool retry_scheduled_ = false;
+    /// Since when the caller has taken nothing; 0 if it has.
+    msec stalled_since_ = 0;
+    std::function<void()> completed_;
+    std::function<void()> disconnected_;
+    bool gone_ = false;
+};
+
+} // namespace galenapulley
--- a/tests/unit/shard_scheduler_test.cpp
+++ b/tests/unit/shard_scheduler_test.cpp
@@ -222,6 +222,26 @@
         !is_refused(scheduler.request(query()), error_kind::customer_limit));
 }
 
+// Guards against a customer that takes its whole limit in each shard, and
+// against a part that stays small while the other zones are withdrawn.
+BOOST_AUTO_TEST_CASE(customer_limit_is_shared_by_the_shards)
+{
+    document.customers[0].max_in_flight = 3;
+    auto other = make_back_end("other");
+    other.zone = "west";
+    document.back_ends.push_back(other);
+    scheduler.set_service(document);
+    scheduler.request(query());
+    scheduler.request(query());
+    BOOST_TEST(
+        is_refused(scheduler.request(query()), error_kind::customer_limit));
+    fleet withdrawn;
+    withdrawn.withdrawn_zones.insert("west");
+    scheduler.set_fleet(withdrawn, {});
+    BOOST_TEST(
+        !is_refused(scheduler.request(query()), error_kind::customer_limit));
+}
+
 // Guards against a request that crashes one back end after another.
 BOOST_AUTO_TEST_CASE(quarantined_fingerprint_is_refused)
 {
