Admin: a team's change applies only to its own document, at the store too

Cause: the team was compared with this node's copy of the document, which may be older than the store's, so a change could replace a document that had passed to another team. Change: put_service and remove_service check the team of the document that they edit, inside the transaction.

--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -168,6 +168,12 @@
     exchange->respond(json_answer(json{{"services", list}}.dump()));
 }
 
+std::optional<std::string> admin_api::team_of(const caller& who)
+{
+    // The store may hold a newer document than this node, of another team.
+    return who.is_operator ? std::nullopt : std::optional(who.team);
+}
+
 absl::Status admin_api::may_edit(const caller& who,
                                  const std::string& service_name,
                                  const std::string* body) const
@@ -231,7 +237,8 @@
     if (!expected.ok())
         refuse(exchange, expected.status());
     else
-        execute(std::make_shared<put_service>(name, request.body, *expected),
+        execute(std::make_shared<put_service>(name, request.body, *expected,
+                                              team_of(who)),
                 request, exchange);
 }
 
@@ -246,8 +253,8 @@
     else if (!expected.ok())
         refuse(exchange, expected.status());
     else
-        execute(std::make_shared<remove_service>(name, *expected), request,
-                exchange);
+        execute(std::make_shared<remove_service>(name, *expected, team_of(who)),
+                request, exchange);
 }
 
 void admin_api::check_document(const http_request& request,
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,7 @@
     void get_status(const http_request&, const path_parts&, const caller&,
                     const exchange_ptr&);
 
+    static std::optional<std::string> team_of(const caller& who);
     absl::Status may_edit(const caller& who, const std::string& service_name,
                           const std::string* body) const;
     void execute(const std::shared_ptr<const config_change>& change,
--- a/tests/unit/config_change_test.cpp
+++ b/tests/unit/config_change_test.cpp
@@ -44,6 +44,24 @@
                 error_kind::invalid_document));
 }
 
+// Guards against a change by another team when this node's copy of the document
+// is older than the store's.
+BOOST_AUTO_TEST_CASE(changes_apply_to_documents_of_their_team_only)
+{
+    auto document = sample_service();
+    const auto own = document["team"].get<std::string>();
+    const auto body = document.dump();
+    const put_service put("drafting", body, std::nullopt, own);
+    const remove_service remove("drafting", std::nullopt, own);
+    BOOST_TEST(put.apply(at_version(1, body)).ok());
+    BOOST_TEST(put.apply(at_version(0, "")).ok());
+    document["team"] = "other";
+    const auto foreign = at_version(1, document.dump());
+    BOOST_TEST((kind_of(put.apply(foreign).status()) == error_kind::forbidden));
+    BOOST_TEST(
+        (kind_of(remove.apply(foreign).status()) == error_kind::forbidden));
+}
+
 // Guards against tombstones for services that do not exist.
 BOOST_AUTO_TEST_CASE(remove_service_needs_a_service)
 {
