Load bench over real processes; baselines without length classes

Cause: the placement policies had not been measured against each other, and reserved shares, class queues, yielding and engine priorities also applied to the baseline strategies. Change: bench/load_bench sends a seeded open-loop workload to real nodes and reports times, outcomes and engine counters. Under random, round_robin and least_outstanding all requests form one class; prompts over several engines keep a queue of their own. process_fleet starts any number of engines and takes fields of the model service's document.

--- /dev/null
+++ b/bench/bench_run.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "load_generator.hpp"
+#include "workload.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace galenapulley::testing
+{
+class process_fleet;
+}
+
+namespace galenapulley::bench
+{
+
+struct run_options
+{
+    std::string placement;
+    std::uint64_t seed = 0;
+    /// Only the requests of the first length class.
+    bool short_only = false;
+    /// Withdraws a zone for the middle third and returns it with cold engines.
+    bool zone_leaves = false;
+    /// Requests abandoned one by one on the idle fleet after the load.
+    std::size_t leave_probes = 0;
+};
+
+/// Sums over the engines during the measured time.
+struct engine_totals
+{
+    std::int64_t prefill_tokens = 0;
+    std::int64_t wasted_prefill_tokens = 0;
+    std::int64_t collapses = 0;
+    /// Highest number of concurrent requests on one cold engine.
+    std::int64_t peak_on_cold = 0;
+    std::int64_t kv_used = 0;
+    std::int64_t reservations = 0;
+};
+
+struct run_result
+{
+    run_options options;
+    std::vector<request_record> records;
+    engine_totals engines;
+    /// KV memory and reservations still held after the drain time.
+    bool memory_all_free = false;
+    /// Wall-clock time from leaving to free memory, one per probe.
+    std::vector<double> free_after_ms;
+};
+
+/// One policy under one arrival list on a fleet of its own.
+class bench_run
+{
+public:
+    bench_run(const workload& load, run_options options);
+    ~bench_run();
+
+    run_result execute();
+
+private:
+    void start_fleet();
+    engine_totals read_engines();
+    std::vector<timed_action> actions();
+    void return_zone();
+    bool wait_memory_free();
+    double probe_leave(std::uint64_t seed);
+
+    const workload& load_;
+    run_options options_;
+    std::unique_ptr<testing::process_fleet> fleet_;
+    engine_totals before_;
+};
+
+} // namespace galenapulley::bench
--- a/src/galenapulley/placement.cpp
+++ b/src/galenapulley/placement.cpp
@@ -102,6 +102,7 @@
     }
 
     bool confines_long() const override { return true; }
+    bool uses_classes() const override { return true; }
 };
 
 template <typename Strategy>
@@ -135,6 +136,12 @@
     return nullptr;
 }
 
+bool placement_uses_classes(std::string_view name)
+{
+    const auto strategy = make_placement(name);
+    return strategy == nullptr || strategy->uses_classes();
+}
+
 std::vector<std::string_view> placement_names()
 {
     std::vector<std::string_view> names;
--- a/src/galenapulley/placement.hpp
+++ b/src/galenapulley/placement.hpp
@@ -42,10 +42,15 @@
            generator& random) = 0;
     /// Whether long prompts are confined to some back ends.
     virtual bool confines_long() const { return false; }
+    /// Whether length classes have limits, queues and priorities of their own.
+    /// The baseline strategies treat all requests alike.
+    virtual bool uses_classes() const { return false; }
 };
 
 /// Makes the strategy of that name; nullptr if there is none.
 std::unique_ptr<placement> make_placement(std::string_view name);
+/// Whether requests are told apart by length class under that strategy.
+bool placement_uses_classes(std::string_view name);
 /// Names of all strategies.
 std::vector<std::string_view> placement_names();
 
--- a/src/galenapulley/shard_scheduler.cpp
+++ b/src/galenapulley/shard_scheduler.cpp
@@ -58,6 +58,11 @@
     auto strategy = make_placement(service_.placement);
     placement_ =
         strategy ? std::move(strategy) : make_placement("size_interval");
+    if (!placement_->uses_classes())
+    {
+        for (auto& it : service_.classes)
+            it.reserved_percent = 0;
+    }
     rebuild_loads(service_.back_ends);
     rebuild_queues();
     update_availability();
@@ -115,7 +120,8 @@
         it.clear(classes_.size());
     for (auto& [key, permit] : permits_)
     {
-        permit.length_class = service_.class_for(permit.prompt_tokens);
+        permit.length_class =
+            effective_class(permit.prompt_tokens, permit.shares.size() > 1);
         ++classes_[permit.length_class].running;
         for (auto& share : permit.shares)
         {
@@ -137,7 +143,8 @@
     for (const auto& it : order)
     {
         auto& query = it->second.query;
-        query.length_class = service_.class_for(query.prompt_tokens);
+        query.length_class =
+            effective_class(query.prompt_tokens, needs_segments(query));
         classes_[query.length_class].queue.push(
             query.customer, load_of(query.customer).weight,
             {.id = it->second.id, .cost = query.prompt_tokens});
@@ -322,10 +329,12 @@
                 {.index = static_cast<std::size_t>(it - loads_.begin()),
                  .tokens = share.tokens});
     }
-    permit.length_class = service_.class_for(permit.prompt_tokens);
-    const auto end =
-        deadline != 0 ? deadline
-                      : now_ + service_.classes[permit.length_class].deadline;
+    permit.length_class =
+        effective_class(permit.prompt_tokens, permit.shares.size() > 1);
+    const auto document_class = service_.class_for(permit.prompt_tokens);
+    const auto end = deadline != 0
+                         ? deadline
+                         : now_ + service_.classes[document_class].deadline;
     permit.expires_at = end + release_grace;
     ++load_of(customer).in_flight;
     book(key, std::move(permit));
--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -172,6 +172,10 @@
     bool is_usable_for(const permit_query& query,
                        const back_end_load& load) const;
     bool is_long(std::size_t length_class) const;
+    bool is_short(const permit_query& query) const;
+    /// The class that limits and queues apply to.
+    std::size_t effective_class(std::uint32_t prompt_tokens,
+                                bool is_segmented) const;
     std::uint32_t slots_left(const back_end_load& load,
                              std::size_t length_class) const;
     std::uint32_t kv_limit(const back_end_load& load) const;
--- a/src/galenapulley/shard_scheduler_admission.cpp
+++ b/src/galenapulley/shard_scheduler_admission.cpp
@@ -55,6 +55,9 @@
         return refuse(query.key, error_kind::no_back_end);
     permit_query item = query;
     item.length_class = std::min(query.length_class, classes_.size() - 1);
+    if (!placement_->uses_classes())
+        item.length_class =
+            effective_class(query.prompt_tokens, needs_segments(query));
     if (const auto kind = find_refusal(item))
         return refuse(item.key, *kind);
     const auto time_left = item.deadline - now_ - expected_start(item);
@@ -110,7 +113,8 @@
         static_cast<double>(withdrawn_ + static_cast<std::size_t>(unreachable));
     const auto total = static_cast<double>(service_.back_ends.size());
     std::size_t yielding = 0;
-    if (missing >= total * longest_gives_way)
+    if (placement_ && placement_->uses_classes() &&
+        missing >= total * longest_gives_way)
         yielding = missing >= total * second_gives_way ? 2 : 1;
     // The shortest class never gives way.
     const auto n = classes_.size();
--- a/src/galenapulley/shard_scheduler_placement.cpp
+++ b/src/galenapulley/shard_scheduler_placement.cpp
@@ -47,6 +47,23 @@
                long_prompt_tokens;
 }
 
+bool shard_scheduler::is_short(const permit_query& query) const
+{
+    return placement_->uses_classes()
+               ? query.length_class == 0
+               : query.prompt_tokens <= service_.classes.front().up_to_tokens;
+}
+
+std::size_t shard_scheduler::effective_class(std::uint32_t prompt_tokens,
+                                             bool is_segmented) const
+{
+    if (placement_->uses_classes())
+        return service_.class_for(prompt_tokens);
+    // Prompts over several engines keep a queue of their own, because one that
+    // waits for memory would hold up every other request.
+    return is_segmented ? classes_.size() - 1 : 0;
+}
+
 std::uint32_t shard_scheduler::slots_left(const back_end_load& load,
                                           std::size_t length_class) const
 {
@@ -130,7 +147,7 @@
 {
     placement_candidate it;
     it.eligible = is_usable_for(query, load) &&
-                  !(load.held && query.length_class > 0) &&
+                  !(load.held && !is_short(query)) &&
                   slots_left(load, query.length_class) > 0 &&
                   kv_free(load) >= kv_need(query);
     if (!it.eligible)
--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -4,6 +4,7 @@
 #include "galenapulley/counters.hpp"
 #include "galenapulley/fleet.hpp"
 #include "galenapulley/latency.hpp"
+#include "galenapulley/placement.hpp"
 #include "galenapulley/retry_budget.hpp"
 #include "galenapulley/service.hpp"
 #include "galenapulley/view_freshness.hpp"
@@ -274,7 +275,9 @@
               {"prompt", request_.prompt},
               {"max_tokens", request_.max_tokens},
               {"stream", true},
-              {"priority", length_class_}};
+              {"priority", placement_uses_classes(service_->placement)
+                               ? length_class_
+                               : 0}};
     if (relay_->next_index() > 0)
         body["resume_from"] = relay_->next_index();
     if (segments_)
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -72,7 +72,10 @@
             address));
         list.back()->start();
     };
-    for (std::size_t n = 0; n < options_.zones * options_.engines_per_zone; ++n)
+    const auto engine_count = options_.engines != 0
+                                  ? options_.engines
+                                  : options_.zones * options_.engines_per_zone;
+    for (std::size_t n = 0; n < engine_count; ++n)
         add("engine", n, engines_, options_.engine_args);
     for (std::size_t n = 0; n < options_.zones * options_.plains_per_zone; ++n)
         add("plain", n, plains_, options_.plain_args);
@@ -229,16 +232,18 @@
 
 json process_fleet::drafting_document() const
 {
-    return {{"service", "drafting"},
-            {"team", "team"},
-            {"kind", "model"},
-            {"models", {"drafter"}},
-            {"placement", options_.placement},
-            {"customers",
-             {{{"name", "customer"},
-               {"token_sha256", token_hash(customer_token)},
-               {"max_in_flight", 1000}}}},
-            {"back_ends", back_ends(false)}};
+    json document{{"service", "drafting"},
+                  {"team", "team"},
+                  {"kind", "model"},
+                  {"models", {"drafter"}},
+                  {"placement", options_.placement},
+                  {"customers",
+                   {{{"name", "customer"},
+                     {"token_sha256", token_hash(customer_token)},
+                     {"max_in_flight", 1000}}}},
+                  {"back_ends", back_ends(false)}};
+    document.update(options_.drafting);
+    return document;
 }
 
 json process_fleet::records_document() const
--- a/tests/support/process_fleet.hpp
+++ b/tests/support/process_fleet.hpp
@@ -22,6 +22,8 @@
 {
     std::size_t zones = 3;
     std::size_t engines_per_zone = 2;
+    /// Engines in all; 0 for engines_per_zone in each zone.
+    std::size_t engines = 0;
     std::size_t plains_per_zone = 1;
     std::size_t nodes_per_zone = 1;
     /// Further arguments of the stand-ins.
@@ -34,6 +36,9 @@
     std::uint32_t cold_slots = 2;
     std::uint32_t kv_tokens = 400'000;
     std::string placement = "size_interval";
+    /// Fields that replace those of the model service's document, for instance
+    /// several customers or other classes.
+    nlohmann::json drafting = nlohmann::json::object();
 };
 
 /// A caller's request in progress.
