Bench runs policies side by side; segment prefills carry the class's priority

Cause: a segment of a huge prompt was prefilled with the highest priority, so short prompts on that engine waited for up to 400,000 tokens. Change: segment_run sends the priority of the request's class.

--- a/bench/bench_run.cpp
+++ b/bench/bench_run.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <mutex>
 #include <utility>
 
 namespace galenapulley::bench
@@ -211,9 +212,16 @@
     return -1;
 }
 
-run_result bench_run::execute()
+run_result bench_run::execute(const std::function<void()>& started)
 {
-    start_fleet();
+    {
+        // Fleets take free ports one after the other.
+        static std::mutex starting;
+        const std::lock_guard lock(starting);
+        start_fleet();
+    }
+    if (started)
+        started();
     std::vector<std::string> nodes;
     for (std::size_t n = 0; n < fleet_->nodes(); ++n)
         nodes.push_back(fleet_->node_address(n));
--- a/bench/bench_run.hpp
+++ b/bench/bench_run.hpp
@@ -4,6 +4,7 @@
 #include "workload.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,7 +59,8 @@
     bench_run(const workload& load, run_options options);
     ~bench_run();
 
-    run_result execute();
+    /// `started` is called between the start of the fleet and the load.
+    run_result execute(const std::function<void()>& started = {});
 
 private:
     void start_fleet();
--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -6,9 +6,12 @@
 
 #include <cxxopts.hpp>
 
+#include <barrier>
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <fstream>
+#include <future>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -41,25 +44,59 @@
 }
 // clang-format on
 
+/// Runs the options at the same time, so that other load on the machine
+/// disturbs all of them alike.
+void run_group(const std::vector<run_options>& group, const workload& load,
+               bench_report& report)
+{
+    std::vector<std::future<run_result>> results;
+    std::barrier<> all_started(static_cast<std::ptrdiff_t>(group.size()));
+    for (const auto& it : group)
+        results.push_back(
+            std::async(std::launch::async,
+                       [&load, &it, &all_started]
+                       {
+                           bool arrived = false;
+                           try
+                           {
+                               return bench_run(load, it).execute(
+                                   [&]
+                                   {
+                                       arrived = true;
+                                       all_started.arrive_and_wait();
+                                   });
+                           }
+                           catch (...)
+                           {
+                               if (!arrived)
+                                   all_started.arrive_and_drop();
+                               throw;
+                           }
+                       }));
+    for (auto& it : results)
+        report.add(it.get());
+}
+
 void run_all(const cxxopts::ParseResult& args, const workload& load,
              bench_report& report)
 {
+    const auto policies = args["policies"].as<std::vector<std::string>>();
     for (const auto seed : args["seeds"].as<std::vector<std::uint64_t>>())
     {
-        for (const auto& policy :
-             args["policies"].as<std::vector<std::string>>())
+        std::vector<run_options> alone;
+        std::vector<run_options> mixed;
+        for (const auto& policy : policies)
         {
-            run_options options{.placement = policy, .seed = seed};
-            if (args.count("alone") > 0)
-            {
-                options.short_only = true;
-                report.add(bench_run(load, options).execute());
-                options.short_only = false;
-            }
-            options.zone_leaves = args.count("zone") > 0;
-            options.leave_probes = args["probes"].as<std::size_t>();
-            report.add(bench_run(load, options).execute());
+            alone.push_back(
+                {.placement = policy, .seed = seed, .short_only = true});
+            mixed.push_back({.placement = policy,
+                             .seed = seed,
+                             .zone_leaves = args.count("zone") > 0,
+                             .leave_probes = args["probes"].as<std::size_t>()});
         }
+        if (args.count("alone") > 0)
+            run_group(alone, load, report);
+        run_group(mixed, load, report);
     }
 }
 
--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -241,8 +241,8 @@
     }
     const auto id = parts_.node + "." + std::to_string(parts_.incarnation) +
                     "." + std::to_string(permit_);
-    segments_ =
-        std::make_shared<segment_run>(parts_, id, std::move(list), deadline_);
+    segments_ = std::make_shared<segment_run>(parts_, id, std::move(list),
+                                              priority(), deadline_);
     handed_over_ = true;
     segments_->start(
         [weak = weak_from_this()](const absl::Status& status,
@@ -268,6 +268,11 @@
     return target == nullptr ? std::string() : target->address;
 }
 
+std::size_t completion_session::priority() const
+{
+    return placement_uses_classes(service_->placement) ? length_class_ : 0;
+}
+
 std::string completion_session::attempt_body() const
 {
     json body{{"request_id", attempt_id_},
@@ -275,9 +280,7 @@
               {"prompt", request_.prompt},
               {"max_tokens", request_.max_tokens},
               {"stream", true},
-              {"priority", placement_uses_classes(service_->placement)
-                               ? length_class_
-                               : 0}};
+              {"priority", priority()}};
     if (relay_->next_index() > 0)
         body["resume_from"] = relay_->next_index();
     if (segments_)
--- a/src/node/completion_session.hpp
+++ b/src/node/completion_session.hpp
@@ -52,6 +52,8 @@
     void prepare_segments();
     void start_attempt();
     std::string attempt_body() const;
+    /// Priority for the engines; 0 is the highest.
+    std::size_t priority() const;
     void on_done(const std::string& attempt_id, const http_result& result);
     void on_failed_attempt(const http_result& result);
     bool try_resume(const http_result& result);
--- a/src/node/segment_run.cpp
+++ b/src/node/segment_run.cpp
@@ -51,10 +51,12 @@
 }
 
 segment_run::segment_run(const session_parts& parts, std::string id,
-                         std::vector<prompt_segment> segments, msec deadline)
+                         std::vector<prompt_segment> segments,
+                         std::size_t priority, msec deadline)
     : parts_(parts)
     , id_(std::move(id))
     , segments_(std::move(segments))
+    , priority_(priority)
     , deadline_(deadline)
 {
 }
@@ -121,7 +123,8 @@
         fail(n, {}, "hold");
         return;
     }
-    json body{{"id", id_}, {"prompt", segments_[n].text}};
+    json body{
+        {"id", id_}, {"prompt", segments_[n].text}, {"priority", priority_}};
     if (n > 0)
         body["import"] = {{"address", segments_[n - 1].address}, {"id", id_}};
     call(n, "/kv/prefill", body.dump(), time_left(),
--- a/src/node/segment_run.hpp
+++ b/src/node/segment_run.hpp
@@ -42,7 +42,8 @@
         std::function<void(absl::Status, std::string failed_back_end)>;
 
     segment_run(const session_parts& parts, std::string id,
-                std::vector<prompt_segment> segments, msec deadline);
+                std::vector<prompt_segment> segments, std::size_t priority,
+                msec deadline);
 
     void start(done_callback done);
     /// Gives all memory back; the run ends without a further callback.
@@ -64,6 +65,8 @@
     const session_parts& parts_;
     std::string id_;
     std::vector<prompt_segment> segments_;
+    /// Sent to the engines; 0 is the highest.
+    std::size_t priority_;
     msec deadline_;
     done_callback done_;
     std::size_t reserved_ = 0;
