Cold detection: count all work before the first token, learn rates from long prompts

Cause: most engines ramped from the cold limit under the mixed load. The rate was averaged over requests, and the base time hides the whole prefill of short prompts, so the expected time of longer ones was too small; work that engines put first and segments that begin late were not counted either. Change: rate from sums of time and work; a first token is slow only against all work granted before it. The model test lets baselines use every slot, since they reserve none any more.

--- a/src/galenapulley/back_end_load.cpp
+++ b/src/galenapulley/back_end_load.cpp
@@ -53,6 +53,7 @@
     ++by_class_[length_class];
     ++permits_;
     kv_booked_ += kv_tokens;
+    granted_tokens_ += kv_tokens;
     granted_.push_back(now);
 }
 
--- a/src/galenapulley/back_end_load.hpp
+++ b/src/galenapulley/back_end_load.hpp
@@ -49,6 +49,11 @@
     /// Permits plus reported requests that belong to no known permit.
     std::uint32_t running() const { return permits_ + foreign_; }
     std::uint32_t kv_booked() const { return kv_booked_ + kv_foreign_; }
+    /// Tokens of all permits ever started, less those of running permits. The
+    /// growth of granted_tokens() over this figure at a grant bounds the work
+    /// that the engine may have done before the permit's first token.
+    std::uint64_t ended_tokens() const { return granted_tokens_ - kv_booked_; }
+    std::uint64_t granted_tokens() const { return granted_tokens_; }
     /// KV memory: the smaller of the document's and the reported figure.
     std::uint32_t kv_tokens() const;
     std::uint64_t prefill_tokens(msec now) const;
@@ -84,6 +89,7 @@
     std::uint32_t permits_ = 0;
     std::uint32_t foreign_ = 0;
     std::uint32_t kv_booked_ = 0;
+    std::uint64_t granted_tokens_ = 0;
     std::uint32_t kv_foreign_ = 0;
     std::uint32_t kv_capacity_ = 0;
     msec unreachable_until_ = 0;
--- a/src/galenapulley/shard_scheduler.cpp
+++ b/src/galenapulley/shard_scheduler.cpp
@@ -270,11 +270,25 @@
     // The first token of several segments says nothing about one back end.
     if (permit.shares.size() != 1)
         return;
-    auto& ramp = loads_[permit.shares.front().index].ramp();
+    const auto& share = permit.shares.front();
     // Older permits ran in the state that the restarted ramp already reflects.
-    if (permit.granted_at >= ramp.since())
-        ramp.on_first_token(permit.shares.front().prefill_tokens,
-                            result.first_token, now_);
+    if (permit.granted_at >= loads_[share.index].ramp().since())
+        learn_first_token(share, result.first_token);
+}
+
+void shard_scheduler::learn_first_token(const booked_share& share, msec took)
+{
+    auto& load = loads_[share.index];
+    auto& ramp = load.ramp();
+    // Engines reorder prefill by priority, and a prompt over several engines
+    // begins late. Only a first token that is too slow for all work that may
+    // have come before it tells of a cold engine.
+    const auto most_work = std::max(share.prefill_tokens,
+                                    load.granted_tokens() - share.ended_tokens);
+    if (!ramp.is_slow(share.prefill_tokens, took))
+        ramp.on_first_token(share.prefill_tokens, took, now_);
+    else if (ramp.is_slow(most_work, took))
+        ramp.on_first_token(most_work, took, now_);
 }
 
 shard_scheduler::permit_map::iterator
--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -113,6 +113,8 @@
         std::uint32_t tokens = 0;
         /// Prefill work before and including this prompt at the grant.
         std::uint64_t prefill_tokens = 0;
+        /// ended_tokens() of the back end at the grant.
+        std::uint64_t ended_tokens = 0;
     };
 
     struct running_permit
@@ -205,6 +207,7 @@
     void book(const permit_key& key, running_permit&& permit);
     permit_map::iterator end_permit(permit_map::iterator it);
     void learn(const running_permit& permit, const permit_result& result);
+    void learn_first_token(const booked_share& share, msec took);
     using queue_map = std::unordered_map<permit_key, queued_permit, key_hash>;
     queue_map::iterator remove_queued(queue_map::iterator it);
     void rebuild_loads(const std::vector<back_end>& back_ends);
--- a/src/galenapulley/shard_scheduler_placement.cpp
+++ b/src/galenapulley/shard_scheduler_placement.cpp
@@ -318,6 +318,7 @@
         left -= prompt;
         auto& load = loads_[it.index];
         const auto work = prompt - std::min(prompt, cached_tokens(query, load));
+        it.ended_tokens = load.ended_tokens();
         it.prefill_tokens = load.add_prefill(work, long_prompt, now_);
     }
     all_work_ += query.prompt_tokens;
--- a/src/galenapulley/warm_up.cpp
+++ b/src/galenapulley/warm_up.cpp
@@ -89,9 +89,11 @@
         since_ = now - msec{steps(now)} * step_time;
 }
 
-void warm_up::learn(double per_token, double weight)
+bool warm_up::is_slow(std::uint64_t tokens, msec took) const
 {
-    ms_per_token_ += (per_token - ms_per_token_) * weight;
+    return knows_rate() &&
+           static_cast<double>(took) >=
+               cold_factor * static_cast<double>(expected_first_token(tokens));
 }
 
 bool warm_up::on_first_token(std::uint64_t tokens, msec took, msec now)
@@ -101,17 +103,26 @@
     const auto per_token =
         static_cast<double>(std::max<msec>(0, took - first_token_base)) /
         static_cast<double>(tokens);
-    if (knows_rate() &&
-        static_cast<double>(took) >=
-            cold_factor * static_cast<double>(expected_first_token(tokens)))
+    if (is_slow(tokens, took))
     {
-        learn(std::min(per_token, cold_factor * ms_per_token_),
-              slow_sample_weight);
+        const auto rate = std::min(per_token, cold_factor * ms_per_token_);
+        prefill_ms_ +=
+            (rate - ms_per_token_) * slow_sample_weight * prefill_tokens_;
+        ms_per_token_ = prefill_ms_ / prefill_tokens_;
         restart(now);
         return true;
     }
     ++samples_;
-    learn(per_token, std::max(sample_weight, 1.0 / samples_));
+    // The ratio of sums lets long prompts decide. An average over requests
+    // would be near 0, as the base covers the whole time of most short ones.
+    if (samples_ > 1.0 / sample_weight)
+    {
+        prefill_ms_ *= 1 - sample_weight;
+        prefill_tokens_ *= 1 - sample_weight;
+    }
+    prefill_ms_ += per_token * static_cast<double>(tokens);
+    prefill_tokens_ += static_cast<double>(tokens);
+    ms_per_token_ = prefill_ms_ / prefill_tokens_;
     return false;
 }
 
--- a/src/galenapulley/warm_up.hpp
+++ b/src/galenapulley/warm_up.hpp
@@ -40,6 +40,8 @@
     /// `tokens` counts the prompt and the prefill work queued before it.
     /// Returns true if the time shows that the back end turned cold.
     bool on_first_token(std::uint64_t tokens, msec took, msec now);
+    /// Whether on_first_token() would take the time for that of a cold engine.
+    bool is_slow(std::uint64_t tokens, msec took) const;
 
     /// Expected time to the first token behind `tokens` of prefill work.
     msec expected_first_token(std::uint64_t tokens) const;
@@ -54,7 +56,6 @@
 private:
     void restart(msec now);
     std::uint32_t steps(msec now) const;
-    void learn(double per_token, double weight);
 
     limits bounds_;
     /// Start of the ramp; moved forward by errors.
@@ -64,6 +65,9 @@
     bool reported_ = false;
     std::int64_t incarnation_ = 0;
     double ms_per_token_;
+    /// Recent prefill time and work; older samples count less.
+    double prefill_ms_ = 0;
+    double prefill_tokens_ = 0;
     std::uint32_t samples_ = 0;
     std::uint32_t restarts_ = 0;
 };
--- a/tests/unit/shard_scheduler_model_test.cpp
+++ b/tests/unit/shard_scheduler_model_test.cpp
@@ -170,10 +170,13 @@
     }
 
     /// Whether one more request of the class stays within the limit and out of
-    /// the slots that shorter classes have reserved.
+    /// the slots that shorter classes have reserved. The baselines reserve no
+    /// slots, so there the whole limit has to be usable by every request.
     bool has_slot(const naive_back_end& it, std::size_t length_class) const
     {
         const auto limit = allowance(it.limit(time_.now()));
+        if (document_.placement != "size_interval")
+            return running_on(it, 0) + 1 <= limit;
         std::uint32_t percent = 0;
         for (std::size_t n = 0; n <= length_class; ++n)
         {
