--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -90,6 +90,7 @@
     address: str
     zone: str = ""
     machine: str = ""
+    team: str = ""
     arguments: list = field(default_factory=list)
     process: subprocess.Popen = None
 
@@ -153,25 +154,33 @@
 
 
 class Fleet:
-    """Stand-ins and nodes of one user in a temporary directory."""
+    """Stand-ins and nodes in a temporary directory.
+
+    The back ends of further users, if any, stand in the zones of the first
+    one and are served by the same nodes.
+    """
 
     def __init__(self, user, nodes_per_zone=1, engines=None, slots=16,
                  cold_slots=2, kv_tokens=400000, engine_options=(),
-                 platform_options=(), build=None):
+                 platform_options=(), build=None, nodes=None,
+                 further_users=()):
         build = pathlib.Path(build or os.environ.get("BUILD_DIR", "build"))
         self.build = build if build.is_absolute() else ROOT / build
         self.user = user
+        self.users = (user,) + tuple(further_users)
         self.operator_token = "operator-token"
-        self.team_token = user.team + "-token"
+        self.team_token = self.token_of(user)
         self.slots, self.cold_slots = slots, cold_slots
         self.kv_tokens = kv_tokens
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="galenapulley-"))
         self.platform = None
         self.engines, self.plain_servers, self.nodes = [], [], []
-        self._lay_out(engines or user.engines, nodes_per_zone,
+        self._lay_out(engines, nodes or nodes_per_zone * len(user.zones),
                       list(engine_options), list(platform_options))
-        self.documents = {it["service"]: it for it in (
-            self._model_document(), self._plain_document())}
+        self.documents = {}
+        for it in self.users:
+            self.documents[it.model_service] = self._model_document(it)
+            self.documents[it.plain_service] = self._plain_document(it)
         self._write_files()
 
     def __enter__(self):
@@ -237,79 +246,97 @@
             if status != 200:
                 raise RuntimeError("put of %s: %s %s" % (name, status, answer))
 
-    def customer_token(self, n):
-        return "%s-customer-%d-token" % (self.user.team, n)
+    @staticmethod
+    def token_of(user):
+        return user.team + "-token"
+
+    def customer_token(self, n, user=None):
+        return "%s-customer-%d-token" % ((user or self.user).team, n)
+
+    def document_path(self, service):
+        return self.directory / (service + ".service.json")
 
     def log_of(self, member):
         return (self.directory / (member.name + ".log")).read_text(
             errors="replace")
 
-    def _lay_out(self, engines, nodes_per_zone, engine_options,
+    def _lay_out(self, engines, node_count, engine_options,
                  platform_options):
-        user = self.user
-        node_count = nodes_per_zone * len(user.zones)
-        addresses = iter(free_addresses(
-            1 + engines + user.plain_servers + 2 * node_count))
-        zone_of = lambda n: user.zones[n % len(user.zones)]
+        counts = [(engines or it.engines) + it.plain_servers
+                  for it in self.users]
+        addresses = iter(free_addresses(1 + sum(counts) + 2 * node_count))
         self.platform = Member("platform", "platform", next(addresses),
                                arguments=platform_options)
-        for n in range(engines):
-            arguments = ["--slots", str(self.slots),
-                         "--cold-slots", str(self.cold_slots),
-                         "--kv-tokens", str(self.kv_tokens),
-                         "--model", user.model] + engine_options
-            if self._checks_fencing(n):
-                arguments.append("--checks-fencing")
-            self.engines.append(Member(
-                "e%d" % (n + 1), "engine", next(addresses), zone_of(n),
-                "vm-%d" % (101 + n), arguments))
-        for n in range(user.plain_servers):
-            journal = self.directory / ("p%d.journal" % (n + 1))
-            self.plain_servers.append(Member(
-                "p%d" % (n + 1), "plain", next(addresses), zone_of(n),
-                "vm-%d" % (201 + n), ["--journal", str(journal)]))
+        for user in self.users:
+            for _ in range(engines or user.engines):
+                self._add_engine(user, next(addresses), engine_options)
+            for _ in range(user.plain_servers):
+                self._add_plain_server(user, next(addresses))
         for n in range(node_count):
             self.nodes.append(Member(
-                "n%d" % (n + 1), "node", next(addresses), zone_of(n),
+                "n%d" % (n + 1), "node", next(addresses), self._zone_of(n),
                 "vm-%d" % (1 + n)))
         self.peer_addresses = [next(addresses) for _ in self.nodes]
 
+    def _zone_of(self, n):
+        return self.user.zones[n % len(self.user.zones)]
+
+    def _add_engine(self, user, address, options):
+        n = len(self.engines)
+        arguments = ["--slots", str(self.slots),
+                     "--cold-slots", str(self.cold_slots),
+                     "--kv-tokens", str(self.kv_tokens),
+                     "--model", user.model] + options
+        if self._checks_fencing(n):
+            arguments.append("--checks-fencing")
+        self.engines.append(Member(
+            "e%d" % (n + 1), "engine", address, self._zone_of(n),
+            "vm-%d" % (101 + n), user.team, arguments))
+
+    def _add_plain_server(self, user, address):
+        n = len(self.plain_servers)
+        journal = self.directory / ("p%d.journal" % (n + 1))
+        self.plain_servers.append(Member(
+            "p%d" % (n + 1), "plain", address, self._zone_of(n),
+            "vm-%d" % (201 + n), user.team, ["--journal", str(journal)]))
+
     @staticmethod
     def _checks_fencing(n):
         # One engine in four ignores fencing numbers.
         return n % 4 != 3
 
-    def _customers(self):
+    def _customers(self, user):
         # The first two are large.
         return [{"name": "customer-%d" % n,
-                 "token_sha256": token_sha256(self.customer_token(n)),
+                 "token_sha256": token_sha256(self.customer_token(n, user)),
                  "weight": 4 if n <= 2 else 1,
                  "max_in_flight": 50} for n in
-                range(1, self.user.customers + 1)]
+                range(1, user.customers + 1)]
 
-    def _model_document(self):
+    def _model_document(self, user):
         return {
-            "service": self.user.model_service, "team": self.user.team,
-            "kind": "model", "models": [self.user.model],
+            "service": user.model_service, "team": user.team,
+            "kind": "model", "models": [user.model],
             "max_prompt_tokens": 1000000, "max_output_tokens": 4096,
             "placement": "size_interval", "shards_per_zone": 1,
-            "customers": self._customers(),
+            "customers": self._customers(user),
             "back_ends": [
                 {"name": it.name, "address": it.address, "zone": it.zone,
                  "machine": it.machine, "slots": self.slots,
                  "cold_slots": self.cold_slots, "kv_tokens": self.kv_tokens,
                  "checks_fencing": self._checks_fencing(n)}
-                for n, it in enumerate(self.engines)]}
+                for n, it in enumerate(self.engines)
+                if it.team == user.team]}
 
-    def _plain_document(self):
+    def _plain_document(self, user):
         return {
-            "service": self.user.plain_service, "team": self.user.team,
-            "kind": "plain", "customers": self._customers(),
-            "routes": list(self.user.routes),
+            "service": user.plain_service, "team": user.team,
+            "kind": "plain", "customers": self._customers(user),
+            "routes": list(user.routes),
             "back_ends": [
                 {"name": it.name, "address": it.address, "zone": it.zone,
                  "machine": it.machine, "slots": 64}
-                for it in self.plain_servers]}
+                for it in self.plain_servers if it.team == user.team]}
 
     def _settings(self, n):
         node = self.nodes[n]
@@ -320,8 +347,9 @@
             "seeds": [it for k, it in enumerate(self.peer_addresses)
                       if k != n][:3],
             "workers": 2,
-            "teams": [{"name": self.user.team,
-                       "token_sha256": token_sha256(self.team_token)}],
+            "teams": [{"name": it.team,
+                       "token_sha256": token_sha256(self.token_of(it))}
+                      for it in self.users],
             "operators": [{"name": "ops", "token_sha256":
                            token_sha256(self.operator_token)}],
             "lease_ttl_ms": 6000, "lease_renew_ms": 2000,
@@ -329,7 +357,7 @@
 
     def _write_files(self):
         for name, document in self.documents.items():
-            self._write(name + ".service.json", document)
+            self._write(self.document_path(name).name, document)
         for n, node in enumerate(self.nodes):
             path = self._write(node.name + ".settings.json",
                                self._settings(n))
