--- a/src/galenapulley/action_ledger.cpp
+++ b/src/galenapulley/action_ledger.cpp
@@ -216,22 +216,29 @@
 }
 
 void action_ledger::finish(const action_key& key, const std::string& attempt_id,
-                           recorded_answer answer)
+                           recorded_answer answer, msec timeout,
+                           recorded_callback done)
 {
     resolution item;
     item.row = row_key(key);
     const auto row = take_started(item.row, attempt_id);
     if (!row)
+    {
+        if (done)
+            done(make_error(error_kind::internal, "no such started attempt"));
         return;
+    }
     item.record = own_record(attempt_id, row->body_hash, action_state::done);
     item.record.answer = limit_answer(std::move(answer));
     item.version = row->version;
+    item.done = std::move(done);
+    item.deadline = time_.now() + timeout;
     resolve(std::move(item));
 }
 
 void action_ledger::mark_not_run(const action_key& key,
                                  const std::string& attempt_id, msec timeout,
-                                 not_run_callback done)
+                                 recorded_callback done)
 {
     resolution item;
     item.row = row_key(key);
--- a/src/galenapulley/action_ledger.hpp
+++ b/src/galenapulley/action_ledger.hpp
@@ -56,9 +56,9 @@
 {
 public:
     using begin_callback = std::function<void(begin_result)>;
-    /// OK once the row says not_run; store_unavailable if that is not known in
-    /// time (the ledger goes on trying).
-    using not_run_callback = std::function<void(absl::Status)>;
+    /// OK once the row holds the new state; store_unavailable if that is not
+    /// known in time (the ledger goes on trying).
+    using recorded_callback = std::function<void(absl::Status)>;
     /// Whether that process of the node may still be running.
     using node_alive =
         std::function<bool(const std::string& node, std::int64_t incarnation)>;
@@ -85,12 +85,13 @@
 
     /// Records the answer of a started attempt. Failed writes are repeated.
     void finish(const action_key& key, const std::string& attempt_id,
-                recorded_answer answer);
+                recorded_answer answer, msec timeout = 0,
+                recorded_callback done = {});
 
     /// Records that a started attempt was not sent, so that the key may be
     /// started again under a new attempt id.
     void mark_not_run(const action_key& key, const std::string& attempt_id,
-                      msec timeout, not_run_callback done = {});
+                      msec timeout, recorded_callback done = {});
 
     /// The outcome of a started attempt will not be known: the row stays
     /// `started`, and nothing more is kept for it.
@@ -132,7 +133,7 @@
         action_record record;
         /// Version to condition on; empty if the row must be read first.
         std::optional<std::int64_t> version;
-        not_run_callback done;
+        recorded_callback done;
         msec deadline = 0;
         bool busy = false;
         msec next_try = 0;
--- a/src/node/plain_session.cpp
+++ b/src/node/plain_session.cpp
@@ -28,6 +28,9 @@
 
 /// Longest time that a call waits for its record in the table service.
 constexpr msec ledger_timeout = 2000_ms;
+/// Longest time that an answer waits for its record. A repeat that comes after
+/// the answer then finds the record.
+constexpr msec record_timeout = 1000_ms;
 constexpr std::size_t max_key_bytes = 200;
 
 std::uint64_t hash_of(const std::string& text, std::uint64_t seed)
@@ -247,14 +250,24 @@
     const std::string content_type = type == result.headers.end()
                                          ? "application/octet-stream"
                                          : type->second;
-    if (!route_->idempotent)
-        parts_.ledger.finish(key_, attempt_id_,
-                             {.status = result.status,
-                              .content_type = content_type,
-                              .body = result.body});
-    answer({.status = result.status,
-            .content_type = content_type,
-            .body = result.body});
+    http_answer out{.status = result.status,
+                    .content_type = content_type,
+                    .body = result.body};
+    if (route_->idempotent)
+        answer(std::move(out));
+    else
+        record(std::move(out));
+}
+
+void plain_session::record(http_answer out)
+{
+    recorded_answer kept{.status = out.status,
+                         .content_type = out.content_type,
+                         .body = out.body};
+    parts_.ledger.finish(key_, attempt_id_, std::move(kept),
+                         std::min(record_timeout, time_left()),
+                         [self = shared_from_this(), out = std::move(out)](
+                             const absl::Status&) { self->answer(out); });
 }
 
 void plain_session::on_not_sent()
--- a/src/node/plain_session.hpp
+++ b/src/node/plain_session.hpp
@@ -44,6 +44,8 @@
     void on_permit(const absl::StatusOr<granted_permit>& permit);
     void send();
     void on_done(const http_result& result);
+    /// Answers once the ledger has the answer, or could not record it in time.
+    void record(http_answer out);
     void on_not_sent();
     void on_outcome_unknown(const http_result& result);
     /// Refuses a call that no back end has received.
--- a/tests/unit/action_ledger_test.cpp
+++ b/tests/unit/action_ledger_test.cpp
@@ -117,6 +117,47 @@
     BOOST_TEST((kind() == error_kind::key_reused));
 }
 
+// Guards against an answer that reaches the caller before its record: a repeat
+// through another node would then get `in_progress`.
+BOOST_FIXTURE_TEST_CASE(finish_tells_when_the_answer_is_recorded, bench)
+{
+    begin(node, "a1");
+    node.settle();
+    std::optional<absl::Status> recorded;
+    const auto finish = [&]
+    {
+        node.ledger.finish(key, "a1", answer_of(200, "ok"), 100,
+                           [&](const absl::Status& it) { recorded = it; });
+    };
+    finish();
+    BOOST_TEST(!recorded);
+    node.settle();
+    BOOST_TEST_REQUIRE(recorded.has_value());
+    BOOST_TEST(recorded->ok());
+    BOOST_TEST((row().state == action_state::done));
+    recorded.reset();
+    finish();
+    BOOST_TEST((kind_of(recorded.value()) == error_kind::internal));
+}
+
+// Guards against a caller whose answer waits for the end of an outage.
+BOOST_FIXTURE_TEST_CASE(finish_gives_up_waiting_in_an_outage, bench)
+{
+    begin(node, "a1");
+    node.settle();
+    node.table.outage = true;
+    std::optional<absl::Status> recorded;
+    node.ledger.finish(key, "a1", answer_of(200, "ok"), 100,
+                       [&](const absl::Status& it) { recorded = it; });
+    node.settle(90);
+    BOOST_TEST(!recorded);
+    node.settle(20);
+    BOOST_TEST((kind_of(recorded.value()) == error_kind::store_unavailable));
+    node.table.outage = false;
+    node.settle(20'000);
+    BOOST_TEST((row().state == action_state::done));
+}
+
 // Guards against recording a large answer in the table service, or replaying
 // a cut body as if it were whole.
 BOOST_FIXTURE_TEST_CASE(large_answer_is_marked, bench)
