admin_api: refuse faulty orders and change ids, check the stored team

A field of an order with a wrong type, and bytes that are not UTF-8 in an error message or a change id, threw on the control thread and ended the node. A team could replace another team's document through a node that had not loaded it. Reads of documents are refused with no_baseline until the node has loaded all of them.

--- a/src/galenapulley/config_change.cpp
+++ b/src/galenapulley/config_change.cpp
@@ -31,13 +31,27 @@
             "; the change was made for version " + std::to_string(*expected));
 }
 
+/// The stored document decides, since the node's own may be missing or older.
+absl::Status check_team(const config_document& current, const std::string& team)
+{
+    if (team.empty() || current.deleted())
+        return absl::OkStatus();
+    const auto parsed = parse_service(current.body);
+    if (!parsed.ok() || parsed->team == team)
+        return absl::OkStatus();
+    return make_error(error_kind::forbidden,
+                      current.name + " belongs to another team");
+}
+
 } // namespace
 
 put_service::put_service(std::string service_name, std::string body,
-                         std::optional<std::int64_t> expected_version)
+                         std::optional<std::int64_t> expected_version,
+                         std::string team)
     : service_name_(std::move(service_name))
     , body_(std::move(body))
     , expected_version_(expected_version)
+    , team_(std::move(team))
 {
 }
 
@@ -60,15 +74,19 @@
 absl::StatusOr<std::string>
 put_service::apply(const config_document& current) const
 {
+    if (auto status = check_team(current, team_); !status.ok())
+        return status;
     if (auto status = check_version(current, expected_version_); !status.ok())
         return status;
     return body_;
 }
 
 remove_service::remove_service(std::string service_name,
-                               std::optional<std::int64_t> expected_version)
+                               std::optional<std::int64_t> expected_version,
+                               std::string team)
     : service_name_(std::move(service_name))
     , expected_version_(expected_version)
+    , team_(std::move(team))
 {
 }
 
@@ -85,6 +103,8 @@
 absl::StatusOr<std::string>
 remove_service::apply(const config_document& current) const
 {
+    if (auto status = check_team(current, team_); !status.ok())
+        return status;
     if (auto status = check_version(current, expected_version_); !status.ok())
         return status;
     if (current.deleted())
--- a/src/galenapulley/config_change.hpp
+++ b/src/galenapulley/config_change.hpp
@@ -40,9 +40,11 @@
 {
 public:
     /// With an expected version (0 = no such service yet) the change applies
-    /// to that version only; without one it replaces whatever is there.
+    /// to that version only; without one it replaces whatever is there. With
+    /// a team it replaces that team's document only.
     put_service(std::string service_name, std::string body,
-                std::optional<std::int64_t> expected_version = std::nullopt);
+                std::optional<std::int64_t> expected_version = std::nullopt,
+                std::string team = {});
 
     std::string_view name() const override { return "put service"; }
     const std::string& subject() const override { return service_name_; }
@@ -55,6 +57,7 @@
     std::string service_name_;
     std::string body_;
     std::optional<std::int64_t> expected_version_;
+    std::string team_;
 };
 
 /// Replaces a service document by a tombstone.
@@ -63,7 +66,8 @@
 public:
     explicit remove_service(
         std::string service_name,
-        std::optional<std::int64_t> expected_version = std::nullopt);
+        std::optional<std::int64_t> expected_version = std::nullopt,
+        std::string team = {});
 
     std::string_view name() const override { return "remove service"; }
     const std::string& subject() const override { return service_name_; }
@@ -75,6 +79,7 @@
 private:
     std::string service_name_;
     std::optional<std::int64_t> expected_version_;
+    std::string team_;
 };
 
 /// A change of the fleet document that adds or removes one name.
--- a/src/galenapulley/error_kind.cpp
+++ b/src/galenapulley/error_kind.cpp
@@ -115,7 +115,8 @@
                                 {"message", std::string(status.message())},
                                 {"ran", name_of(ran.value_or(answer.ran))},
                                 {"retry_after_ms", answer.retry_after}}}};
-    return body.dump();
+    // Messages may quote a caller's bytes, which need not be valid UTF-8.
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace galenapulley
--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/config_change.hpp"
 #include "galenapulley/config_registry.hpp"
+#include "galenapulley/config_sync.hpp"
 #include "galenapulley/counters.hpp"
 #include "galenapulley/fleet.hpp"
 #include "galenapulley/node_settings.hpp"
@@ -65,6 +66,31 @@
     return std::optional(value);
 }
 
+/// Change ids are stored and logged, and go into JSON.
+bool is_change_id(const std::string& text)
+{
+    constexpr std::size_t max_length = 128;
+    return !text.empty() && text.size() <= max_length &&
+           std::all_of(text.begin(), text.end(),
+                       [](char c) { return c > ' ' && c < 127; });
+}
+
+/// The order in the body; nothing if it has other fields or types.
+std::optional<engine_order> parse_order(const std::string& text)
+{
+    const auto body = json::parse(text, nullptr, false);
+    if (!body.is_object() || body.size() != 2 || !body.contains("order") ||
+        !body["order"].is_string())
+        return std::nullopt;
+    engine_order order{.order = body["order"].get<std::string>(), .value = {}};
+    const auto known = order.order == "load_model" || order.order == "set_role";
+    const auto* field = order.order == "load_model" ? "model" : "role";
+    if (!known || !body.contains(field) || !body[field].is_string())
+        return std::nullopt;
+    order.value = body[field].get<std::string>();
+    return order.value.empty() ? std::nullopt : std::optional(order);
+}
+
 } // namespace
 
 admin_api::admin_api(parts uses) : parts_(std::move(uses)) {}
@@ -121,6 +147,16 @@
     exchange->respond(error_answer_for(status));
 }
 
+bool admin_api::refuse_without_baseline(const exchange_ptr& exchange)
+{
+    if (parts_.sync.has_baseline())
+        return false;
+    refuse(exchange, make_error(error_kind::no_baseline,
+                                "this node does not know the documents in "
+                                "force yet"));
+    return true;
+}
+
 void admin_api::handle(const http_request& request,
                        const exchange_ptr& exchange)
 {
@@ -153,6 +189,8 @@
                               const path_parts& /*path*/, const caller& who,
                               const exchange_ptr& exchange)
 {
+    if (refuse_without_baseline(exchange))
+        return;
     json list = json::array();
     for (const auto& it : parts_.registry.services())
     {
@@ -197,6 +235,8 @@
                             const path_parts& path, const caller& who,
                             const exchange_ptr& exchange)
 {
+    if (refuse_without_baseline(exchange))
+        return;
     const auto& name = path[2];
     const auto* document = parts_.registry.find(service_row(name));
     if (document == nullptr)
@@ -231,7 +271,8 @@
     if (!expected.ok())
         refuse(exchange, expected.status());
     else
-        execute(std::make_shared<put_service>(name, request.body, *expected),
+        execute(std::make_shared<put_service>(name, request.body, *expected,
+                                              who.is_operator ? "" : who.team),
                 request, exchange);
 }
 
@@ -246,8 +287,9 @@
     else if (!expected.ok())
         refuse(exchange, expected.status());
     else
-        execute(std::make_shared<remove_service>(name, *expected), request,
-                exchange);
+        execute(std::make_shared<remove_service>(
+                    name, *expected, who.is_operator ? "" : who.team),
+                request, exchange);
 }
 
 void admin_api::check_document(const http_request& request,
@@ -290,21 +332,13 @@
 void admin_api::give_order(const http_request& request, const path_parts& path,
                            const caller& /*who*/, const exchange_ptr& exchange)
 {
-    const auto body = json::parse(request.body, nullptr, false);
-    engine_order order;
-    if (body.is_object())
-    {
-        order.order = body.value("order", std::string());
-        order.value = body.value(order.order == "load_model" ? "model" : "role",
-                                 std::string());
-    }
-    const bool known = order.order == "load_model" || order.order == "set_role";
-    if (!known || order.value.empty())
+    const auto order = parse_order(request.body);
+    if (!order)
     {
         refuse(exchange,
                make_error(error_kind::bad_request,
-                          "order: must be load_model with model, or set_role "
-                          "with role"));
+                          "body: must be {\"order\":\"load_model\",\"model\":"
+                          "NAME} or {\"order\":\"set_role\",\"role\":NAME}"));
         return;
     }
     for (const auto& it : parts_.registry.services())
@@ -313,7 +347,7 @@
         if (target == nullptr)
             continue;
         parts_.orders.give(
-            *target, order,
+            *target, *order,
             [this, exchange, name = path[2]](const absl::Status& status,
                                              std::int64_t fence)
             {
@@ -341,11 +375,12 @@
                         const exchange_ptr& exchange)
 {
     auto change_id = request.header("x-change-id");
-    if (change_id.empty())
+    if (!is_change_id(change_id))
     {
-        refuse(exchange, make_error(error_kind::bad_request,
-                                    "x-change-id: the header is required, so "
-                                    "that a repeat is recognised"));
+        refuse(exchange,
+               make_error(error_kind::bad_request,
+                          "x-change-id: must be 1 to 128 printable characters "
+                          "without spaces; it makes a repeat recognisable"));
         return;
     }
     parts_.config.execute(
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -15,6 +15,7 @@
 class config_change;
 class config_desk;
 class config_registry;
+class config_sync;
 class counters;
 class order_desk;
 struct node_settings;
@@ -32,6 +33,7 @@
         config_desk& config;
         order_desk& orders;
         counters& counts;
+        const config_sync& sync;
         /// JSON text of this node's status.
         std::function<std::string()> status;
     };
@@ -85,6 +87,8 @@
                           const std::string* body) const;
     void execute(const std::shared_ptr<const config_change>& change,
                  const http_request& request, const exchange_ptr& exchange);
+    /// Refuses a read of documents while the node does not know all of them.
+    bool refuse_without_baseline(const exchange_ptr& exchange);
     void refuse(const exchange_ptr& exchange, const absl::Status& status);
 
     parts parts_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -141,6 +141,7 @@
               .config = config_,
               .orders = orders_,
               .counts = counters_,
+              .sync = sync_,
               .status =
                   [this]
               {
--- a/tests/unit/config_change_test.cpp
+++ b/tests/unit/config_change_test.cpp
@@ -44,6 +44,27 @@
                 error_kind::invalid_document));
 }
 
+// Guards against a team that replaces or removes another team's document
+// through a node that does not hold that document yet.
+BOOST_AUTO_TEST_CASE(a_team_changes_its_own_document_only)
+{
+    const auto body = sample_service().dump();
+    const auto current = at_version(2, body);
+    const auto team = sample_service()["team"].get<std::string>();
+    BOOST_TEST(put_service("drafting", body, 2, team).apply(current).ok());
+    BOOST_TEST(remove_service("drafting", 2, team).apply(current).ok());
+    BOOST_TEST((kind_of(put_service("drafting", body, 2, "others")
+                            .apply(current)
+                            .status()) == error_kind::forbidden));
+    BOOST_TEST(
+        (kind_of(
+             remove_service("drafting", 2, "others").apply(current).status()) ==
+         error_kind::forbidden));
+    BOOST_TEST(put_service("drafting", body, 3, "others")
+                   .apply(at_version(3, ""))
+                   .ok());
+}
+
 // Guards against tombstones for services that do not exist.
 BOOST_AUTO_TEST_CASE(remove_service_needs_a_service)
 {
--- a/tests/unit/error_kind_test.cpp
+++ b/tests/unit/error_kind_test.cpp
@@ -29,3 +29,12 @@
     body = nlohmann::json::parse(error_body(status, execution::not_run));
     BOOST_TEST(body["error"]["ran"] == "not_run");
 }
+
+// Guards against an exception on the control thread, which ends the node, when
+// a message quotes bytes that are not valid UTF-8.
+BOOST_AUTO_TEST_CASE(body_takes_any_bytes)
+{
+    const auto status = make_error(error_kind::unknown_route, "no /\xff\xc3");
+    const auto body = nlohmann::json::parse(error_body(status));
+    BOOST_TEST(body["error"]["kind"] == "unknown_route");
+}
