--- a/src/galenapulley/config_change.cpp
+++ b/src/galenapulley/config_change.cpp
@@ -23,7 +23,9 @@
 absl::Status check_version(const config_document& current,
                            std::optional<std::int64_t> expected)
 {
-    if (!expected || *expected == current.version)
+    // 0 stands for "no such service", which a tombstone is, too.
+    if (!expected || *expected == current.version ||
+        (*expected == 0 && current.deleted()))
         return absl::OkStatus();
     return make_error(
         error_kind::version_conflict,
--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -239,7 +239,7 @@
         return;
     const auto& name = path[2];
     const auto* document = parts_.registry.find(service_row(name));
-    if (document == nullptr)
+    if (document == nullptr || document->deleted())
     {
         refuse(exchange,
                make_error(error_kind::unknown_service, "no service " + name));
--- a/tests/unit/config_change_test.cpp
+++ b/tests/unit/config_change_test.cpp
@@ -31,6 +31,9 @@
     BOOST_TEST((kind_of(late.status()) == error_kind::version_conflict));
     BOOST_TEST(*put_service("drafting", body).apply(at_version(9, "x")) ==
                body);
+    const put_service first("drafting", body, 0);
+    BOOST_TEST(first.apply(at_version(4, "")).ok());
+    BOOST_TEST(!first.apply(at_version(4, "x")).ok());
 }
 
 // Guards against documents that are put under another service's name, where
