--- a/src/galenapulley/action_ledger.cpp
+++ b/src/galenapulley/action_ledger.cpp
@@ -217,7 +217,7 @@
 
 void action_ledger::finish(const action_key& key, const std::string& attempt_id,
                            recorded_answer answer, msec timeout,
-                           settled_callback done)
+                           recorded_callback done)
 {
     resolution item;
     item.row = row_key(key);
@@ -238,7 +238,7 @@
 
 void action_ledger::mark_not_run(const action_key& key,
                                  const std::string& attempt_id, msec timeout,
-                                 settled_callback done)
+                                 recorded_callback done)
 {
     resolution item;
     item.row = row_key(key);
--- a/src/galenapulley/config_change.cpp
+++ b/src/galenapulley/config_change.cpp
@@ -23,7 +23,9 @@
 absl::Status check_version(const config_document& current,
                            std::optional<std::int64_t> expected)
 {
-    if (!expected || *expected == current.version)
+    // 0 stands for "no such service", which a tombstone is, too.
+    if (!expected || *expected == current.version ||
+        (*expected == 0 && current.deleted()))
         return absl::OkStatus();
     return make_error(
         error_kind::version_conflict,
@@ -31,13 +33,13 @@
             "; the change was made for version " + std::to_string(*expected));
 }
 
-absl::Status check_team(const config_document& current,
-                        const std::optional<std::string>& team)
+/// The stored document decides, since the node's own may be missing or older.
+absl::Status check_team(const config_document& current, const std::string& team)
 {
-    if (!team || current.deleted())
+    if (team.empty() || current.deleted())
         return absl::OkStatus();
     const auto parsed = parse_service(current.body);
-    if (parsed.ok() && parsed->team == *team)
+    if (!parsed.ok() || parsed->team == team)
         return absl::OkStatus();
     return make_error(error_kind::forbidden,
                       current.name + " belongs to another team");
@@ -47,7 +49,7 @@
 
 put_service::put_service(std::string service_name, std::string body,
                          std::optional<std::int64_t> expected_version,
-                         std::optional<std::string> team)
+                         std::string team)
     : service_name_(std::move(service_name))
     , body_(std::move(body))
     , expected_version_(expected_version)
@@ -83,7 +85,7 @@
 
 remove_service::remove_service(std::string service_name,
                                std::optional<std::int64_t> expected_version,
-                               std::optional<std::string> team)
+                               std::string team)
     : service_name_(std::move(service_name))
     , expected_version_(expected_version)
     , team_(std::move(team))
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -142,6 +142,7 @@
               .config = config_,
               .orders = orders_,
               .counts = counters_,
+              .sync = sync_,
               .status =
                   [this]
               {
--- a/src/node/plain_session.cpp
+++ b/src/node/plain_session.cpp
@@ -28,7 +28,8 @@
 
 /// Longest time that a call waits for its record in the table service.
 constexpr msec ledger_timeout = 2000_ms;
-/// Longest time that an answer waits until it is recorded.
+/// Longest time that an answer waits for its record. A repeat that comes after
+/// the answer then finds the record.
 constexpr msec record_timeout = 1000_ms;
 constexpr std::size_t max_key_bytes = 200;
 
@@ -253,20 +254,20 @@
                     .content_type = content_type,
                     .body = result.body};
     if (route_->idempotent)
-    {
         answer(std::move(out));
-        return;
-    }
-    // The caller gets the answer once it is recorded, so that a repeat gets
-    // the same one; a slow store delays it by a bounded time only.
-    parts_.ledger.finish(
-        key_, attempt_id_,
-        {.status = result.status,
-         .content_type = content_type,
-         .body = result.body},
-        std::min(record_timeout, time_left()),
-        [self = shared_from_this(), out](const absl::Status& /*recorded*/)
-        { self->answer(out); });
+    else
+        record(std::move(out));
+}
+
+void plain_session::record(http_answer out)
+{
+    recorded_answer kept{.status = out.status,
+                         .content_type = out.content_type,
+                         .body = out.body};
+    parts_.ledger.finish(key_, attempt_id_, std::move(kept),
+                         std::min(record_timeout, time_left()),
+                         [self = shared_from_this(), out = std::move(out)](
+                             const absl::Status&) { self->answer(out); });
 }
 
 void plain_session::on_not_sent()
--- a/tests/unit/config_change_test.cpp
+++ b/tests/unit/config_change_test.cpp
@@ -31,6 +31,9 @@
     BOOST_TEST((kind_of(late.status()) == error_kind::version_conflict));
     BOOST_TEST(*put_service("drafting", body).apply(at_version(9, "x")) ==
                body);
+    const put_service first("drafting", body, 0);
+    BOOST_TEST(first.apply(at_version(4, "")).ok());
+    BOOST_TEST(!first.apply(at_version(4, "x")).ok());
 }
 
 // Guards against documents that are put under another service's name, where
@@ -44,22 +47,25 @@
                 error_kind::invalid_document));
 }
 
-// Guards against a change by another team when this node's copy of the document
-// is older than the store's.
-BOOST_AUTO_TEST_CASE(changes_apply_to_documents_of_their_team_only)
+// Guards against a team that replaces or removes another team's document
+// through a node that does not hold that document yet.
+BOOST_AUTO_TEST_CASE(a_team_changes_its_own_document_only)
 {
-    auto document = sample_service();
-    const auto own = document["team"].get<std::string>();
-    const auto body = document.dump();
-    const put_service put("drafting", body, std::nullopt, own);
-    const remove_service remove("drafting", std::nullopt, own);
-    BOOST_TEST(put.apply(at_version(1, body)).ok());
-    BOOST_TEST(put.apply(at_version(0, "")).ok());
-    document["team"] = "other";
-    const auto foreign = at_version(1, document.dump());
-    BOOST_TEST((kind_of(put.apply(foreign).status()) == error_kind::forbidden));
+    const auto body = sample_service().dump();
+    const auto current = at_version(2, body);
+    const auto team = sample_service()["team"].get<std::string>();
+    BOOST_TEST(put_service("drafting", body, 2, team).apply(current).ok());
+    BOOST_TEST(remove_service("drafting", 2, team).apply(current).ok());
+    BOOST_TEST((kind_of(put_service("drafting", body, 2, "others")
+                            .apply(current)
+                            .status()) == error_kind::forbidden));
     BOOST_TEST(
-        (kind_of(remove.apply(foreign).status()) == error_kind::forbidden));
+        (kind_of(
+             remove_service("drafting", 2, "others").apply(current).status()) ==
+         error_kind::forbidden));
+    BOOST_TEST(put_service("drafting", body, 3, "others")
+                   .apply(at_version(3, ""))
+                   .ok());
 }
 
 // Guards against tombstones for services that do not exist.
