completion_session: no "not run" after the engine had the request

Cause: watch() called cancel_upstream(), which clears the transfer, before it looked at the transfer to choose the refusal. Change: cancelling an attempt marks the request as handed over. Before: deadline_test caller_shortens_the_deadline saw ran = not_run. After: may_have_run; deadline_test passes (140 checks). The fixture gets wait_serving(): install() returned before every node had heard of a shard's owner, so first requests were refused as no_back_end.

--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -425,9 +425,8 @@
     if (now >= deadline_)
     {
         cancel_upstream();
-        refuse(make_error(handed_over_ || transfer_ != 0
-                              ? error_kind::deadline_exceeded
-                              : error_kind::deadline_unreachable,
+        refuse(make_error(handed_over_ ? error_kind::deadline_exceeded
+                                       : error_kind::deadline_unreachable,
                           "the answer was not complete in time"));
         return;
     }
@@ -452,7 +451,6 @@
 void completion_session::on_stalled()
 {
     cancel_upstream();
-    handed_over_ = true;
     attempt_id_.clear();
     relay_->end_of_input();
     const http_result result{.error = transfer_error::timed_out};
@@ -464,6 +462,8 @@
 {
     if (transfer_ == 0)
         return;
+    // The engine may have begun, so a refusal must not say "not run".
+    handed_over_ = true;
     parts_.engines.cancel(std::exchange(transfer_, 0));
     http_call call;
     call.method = "POST";
--- a/tests/support/fleet_text.cpp
+++ b/tests/support/fleet_text.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <fstream>
+#include <map>
+#include <stdexcept>
 #include <string>
 
 namespace galenapulley::testing
@@ -82,6 +84,25 @@
     return body["error"].value(field, std::string());
 }
 
+void process_fleet::wait_serving()
+{
+    constexpr msec serving_timeout = 15'000_ms;
+    const std::map<std::string, std::string> headers{
+        {"Authorization", std::string("Bearer ") + customer_token}};
+    const auto serves = [&](std::size_t n)
+    {
+        return (engines_.empty() ||
+                complete(n, make_prompt(100, n), 1).status == 200) &&
+               (plains_.empty() ||
+                call("GET", node_address(n), "/services/records/call/counts",
+                     {}, headers)
+                        .status == 200);
+    };
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+        if (!wait_until([&] { return serves(n); }, serving_timeout))
+            throw std::runtime_error(node_address(n) + " does not serve");
+}
+
 std::size_t process_fleet::runs_of(const std::string& key)
 {
     std::size_t runs = 0;
--- a/tests/support/process_fleet.hpp
+++ b/tests/support/process_fleet.hpp
@@ -62,6 +62,9 @@
     /// Puts both services' documents in force and waits until each shard has
     /// an owner, every node is fresh, and the back ends are warm.
     void install();
+    /// Sends one request to each node and kind of service, until all of them
+    /// know an owner of a shard and answer.
+    void wait_serving();
     nlohmann::json drafting_document() const;
     nlohmann::json records_document() const;
 
