Strike for an engine that dies in the prefill of a segment

Cause: only a broken completion call was probed for a crash. The prefill of a segmented prompt is a call of its own; its failure counted as any other, so a crashing prompt above one engine's memory never got a strike. Ruled out: the strike book and its spread; prompts that fit one engine were quarantined after two engines. Change: segment_run tells that the connection broke in prefill; the session probes that engine and records the strike.

--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -245,7 +245,7 @@
     handed_over_ = true;
     segments_->start(
         [weak = weak_from_this()](const absl::Status& status,
-                                  const std::string& failed)
+                                  const segment_run::failure& failed)
         {
             const auto self = weak.lock();
             if (!self || self->ended_already_)
@@ -255,7 +255,13 @@
                 self->start_attempt();
                 return;
             }
-            self->excluded_.push_back(failed);
+            self->excluded_.push_back(failed.back_end);
+            if (failed.lost_in_prefill)
+            {
+                self->attempt_id_ = self->segments_->id();
+                self->probe_crash(failed.address);
+                return;
+            }
             self->parts_.counts.count(retry_reason::back_end_failed);
             self->retry_elsewhere(permit_outcome::failed);
         });
@@ -362,7 +368,7 @@
         retry_elsewhere(permit_outcome::failed);
     }
     else if (result.error == transfer_error::broken)
-        probe_crash();
+        probe_crash(back_end_address());
     else
     {
         parts_.counts.count(retry_reason::back_end_failed);
@@ -370,10 +376,10 @@
     }
 }
 
-void completion_session::probe_crash()
+void completion_session::probe_crash(const std::string& address)
 {
     http_call call;
-    call.url = "http://" + back_end_address() + "/load";
+    call.url = "http://" + address + "/load";
     call.connect_timeout = probe_timeout;
     call.timeout = probe_timeout;
     parts_.engines.start(
--- a/src/node/completion_session.hpp
+++ b/src/node/completion_session.hpp
@@ -55,7 +55,7 @@
     void on_done(const std::string& attempt_id, const http_result& result);
     void on_failed_attempt(const http_result& result);
     bool try_resume(const http_result& result);
-    void probe_crash();
+    void probe_crash(const std::string& address);
     void record_strike();
     void retry_elsewhere(permit_outcome outcome);
     void watch();
--- a/src/node/segment_run.cpp
+++ b/src/node/segment_run.cpp
@@ -155,7 +155,11 @@
             (result.status != 0
                  ? " with status " + std::to_string(result.status)
                  : std::string()));
-    std::exchange(done_, nullptr)(status, segments_[n].back_end);
+    const bool lost =
+        result.error == transfer_error::broken && reserved_ == segments_.size();
+    std::exchange(done_, nullptr)(status, {.back_end = segments_[n].back_end,
+                                           .address = segments_[n].address,
+                                           .lost_in_prefill = lost});
 }
 
 void segment_run::release()
--- a/src/node/segment_run.hpp
+++ b/src/node/segment_run.hpp
@@ -37,9 +37,15 @@
 class segment_run : public std::enable_shared_from_this<segment_run>
 {
 public:
-    /// The name of the engine that failed comes with an error.
-    using done_callback =
-        std::function<void(absl::Status, std::string failed_back_end)>;
+    struct failure
+    {
+        std::string back_end;
+        std::string address;
+        /// The connection broke during prefill, so the engine may have died.
+        bool lost_in_prefill = false;
+    };
+    /// The failure comes with an error.
+    using done_callback = std::function<void(absl::Status, failure)>;
 
     segment_run(const session_parts& parts, std::string id,
                 std::vector<prompt_segment> segments, msec deadline);
