Tell the shard's owner that a back end refuses connections

Cause: a permit whose connection could not be opened was released as failed. The owner then only slowed the ramp and gave out the dead back end until its next load report; plain servers have none, so they stayed in use for good. The second request within 0.5 s of a crash lost one of its two attempts on it. Ruled out: the retry budget (2 of 10 used) and excluded back ends. Change: such a permit is released as crashed, which makes the back end unreachable for 5 s or until its next report, and cold afterwards (design 3.7). Before: whole_answer_test engine_killed_in_mid_stream, second request back_end_failed. After: answered by another engine.

--- a/src/galenapulley/permit.hpp
+++ b/src/galenapulley/permit.hpp
@@ -71,7 +71,8 @@
     completed,
     cancelled,
     failed,
-    /// The connection to the back end was lost while the request ran.
+    /// The connection to the back end was lost while the request ran, or could
+    /// not be opened.
     crashed,
     /// The permit was never used.
     unused
--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -354,9 +354,10 @@
     excluded_.push_back(failed);
     if (relay_->has_sent())
     {
-        if (result.error == transfer_error::not_connected)
+        const bool gone = result.error == transfer_error::not_connected;
+        if (gone)
             record_strike();
-        release_permit(permit_outcome::failed);
+        release_permit(gone ? permit_outcome::crashed : permit_outcome::failed);
         refuse(make_error(error_kind::stream_broken,
                           "the stream of " + failed +
                               " ended early: " + relay_->reason()));
@@ -365,7 +366,8 @@
     if (result.error == transfer_error::not_connected)
     {
         parts_.counts.count(retry_reason::connect_failed);
-        retry_elsewhere(permit_outcome::failed);
+        // The owner must not send others there until the next load report.
+        retry_elsewhere(permit_outcome::crashed);
     }
     else if (result.error == transfer_error::broken)
         probe_crash(back_end_address());
--- a/src/node/plain_session.cpp
+++ b/src/node/plain_session.cpp
@@ -261,7 +261,8 @@
 {
     excluded_.push_back(back_end_);
     parts_.counts.count(retry_reason::connect_failed);
-    release_permit(permit_outcome::failed);
+    // The owner must not send others there for a while.
+    release_permit(permit_outcome::crashed);
     if (ended_already_ ||
         !parts_.retries.take_retry(attempts_, parts_.loop.now()))
     {
@@ -343,7 +344,9 @@
         return;
     }
     permit_result result{.outcome = outcome};
-    if (outcome == permit_outcome::failed && !excluded_.empty())
+    const bool is_fault =
+        outcome == permit_outcome::failed || outcome == permit_outcome::crashed;
+    if (is_fault && !excluded_.empty())
         result.failed_back_end = excluded_.back();
     parts_.counts.count(outcome);
     parts_.desk.release(permit, result);
