permit_desk: wait for the owner of a shard that changes hands

Cause: a request was refused as no_back_end at once when no shard had a known owner, when the asked node had given up the shard, or when it was queued at an owner that stopped. Ruled out: the drain itself; the stopping node still served, but could get no permit either. Change: such a request waits up to 5 s and asks again every 100 ms. A node that does not own the shard answers node_leaving between nodes, which is no verdict; callers still see no_back_end when the wait ends.

--- a/src/galenapulley/shard_picker.cpp
+++ b/src/galenapulley/shard_picker.cpp
@@ -56,6 +56,12 @@
         it->owner_known = known;
 }
 
+bool shard_picker::has_open_zone() const
+{
+    return std::any_of(views_.begin(), views_.end(),
+                       [](const shard_view& it) { return !it.withdrawn; });
+}
+
 void shard_picker::on_capacity(const shard_capacity& digest, msec now)
 {
     auto* it = find(digest.shard);
--- a/src/galenapulley/shard_picker.hpp
+++ b/src/galenapulley/shard_picker.hpp
@@ -38,6 +38,8 @@
     void set_fleet(const fleet& document);
     /// Shards without a known owner are not chosen.
     void set_owner_known(const std::string& shard, bool known);
+    /// Whether any shard lies in a zone that is not withdrawn.
+    bool has_open_zone() const;
 
     /// Ignores digests of an older epoch.
     void on_capacity(const shard_capacity& digest, msec now);
--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -93,7 +93,8 @@
     query.key = key_of(request);
     waiting_.emplace(request, waiting_request{.target = target,
                                               .query = std::move(query),
-                                              .done = std::move(done)});
+                                              .done = std::move(done),
+                                              .asked_at = parts_.time.now()});
     try_next(request);
     return request;
 }
@@ -114,7 +115,8 @@
                                            random_);
     if (!shard)
     {
-        give_up(request);
+        if (!wait_for_owner(it))
+            give_up(request);
         return;
     }
     it.shard = *shard;
@@ -153,6 +155,35 @@
     send_to(it.owner, message);
 }
 
+// While a shard changes its owner, the request waits here. It was refused by
+// nobody, so it would be lost to a planned stop of the owner otherwise.
+bool permit_desk::wait_for_owner(waiting_request& it)
+{
+    const auto now = parts_.time.now();
+    if (!it.refusal.ok() || now >= it.asked_at + options_.owner_wait ||
+        !picker_for(it.target).has_open_zone())
+        return false;
+    it.tried.clear();
+    it.shard.clear();
+    it.owner.clear();
+    it.retry_at = now + options_.owner_retry;
+    return true;
+}
+
+void permit_desk::retry_parked()
+{
+    const auto now = parts_.time.now();
+    std::vector<std::uint64_t> due;
+    for (auto& [request, it] : waiting_)
+        if (it.retry_at != 0 && now >= it.retry_at)
+        {
+            it.retry_at = 0;
+            due.push_back(request);
+        }
+    for (const auto request : due)
+        try_next(request);
+}
+
 void permit_desk::give_up(std::uint64_t request)
 {
     auto entry = waiting_.extract(request);
@@ -186,8 +217,10 @@
     const auto found = waiting_.find(request);
     if (found == waiting_.end() || found->second.shard != shard)
         return;
-    found->second.refusal =
-        make_error(kind, "refused by the owner of shard " + shard);
+    // The node asked does not own the shard any more: no verdict.
+    if (kind != error_kind::node_leaving)
+        found->second.refusal =
+            make_error(kind, "refused by the owner of shard " + shard);
     if (is_final(kind))
         give_up(request);
     else
@@ -250,7 +283,7 @@
             it.queued ? options_.queue_silence : options_.reply_timeout;
         const bool is_local =
             schedulers_.count(it.shard) != 0 && parts_.freshness.is_fresh(now);
-        if (!is_local && now - it.heard_at > limit)
+        if (it.retry_at == 0 && !is_local && now - it.heard_at > limit)
             silent.push_back(request);
     }
     for (const auto request : silent)
@@ -329,6 +362,7 @@
     for (const auto& it : schedulers_)
         tick_scheduler(*it.second);
     check_silence();
+    retry_parked();
     send_keep_alives();
 }
 
--- a/src/node/permit_desk.hpp
+++ b/src/node/permit_desk.hpp
@@ -51,6 +51,11 @@
     /// A grant counts only if its owner was heard this recently.
     msec grant_validity = 2000;
     std::size_t max_shards = 3;
+    /// A request waits this long while no shard has an owner that answers. A
+    /// released shard is claimed after at most a few times 500 ms, gossip tells
+    /// of it within seconds, and the new owner grants nothing for 1 s.
+    msec owner_wait = 5000;
+    msec owner_retry = 100;
     std::uint64_t seed = 1;
 };
 
@@ -125,6 +130,9 @@
         msec heard_at = 0;
         bool queued = false;
         absl::Status refusal;
+        msec asked_at = 0;
+        /// When to ask again, if no owner was found; 0 while one is asked.
+        msec retry_at = 0;
     };
 
     struct held_permit
@@ -147,6 +155,8 @@
     void try_next(std::uint64_t request);
     void send_question(std::uint64_t request, waiting_request& it);
     void give_up(std::uint64_t request);
+    bool wait_for_owner(waiting_request& it);
+    void retry_parked();
     void take_grant(std::uint64_t request, const std::string& shard,
                     std::vector<permit_share> shares);
     void take_refusal(std::uint64_t request, const std::string& shard,
--- a/src/node/permit_desk_owner.cpp
+++ b/src/node/permit_desk_owner.cpp
@@ -123,7 +123,7 @@
         refusal.set_request(body.request());
         refusal.set_shard(body.shard());
         refusal.set_error_kind(
-            static_cast<std::uint32_t>(error_kind::no_back_end));
+            static_cast<std::uint32_t>(error_kind::node_leaving));
         send_to(message.from(), answer);
         return;
     }
@@ -303,7 +303,7 @@
                              .incarnation = queue.incarnation,
                              .request = request},
                      .state = permit_state::refused,
-                     .refusal = error_kind::no_back_end},
+                     .refusal = error_kind::node_leaving},
                     0);
 }
 
