List a started node only once it can serve

Cause: a starting node was listed in GET /v1/nodes as soon as its gossip was heard, seconds before it knew the documents in force. Callers that used the list were refused with no_baseline during a rolling restart. Ruled out: callers with an old list; the refused ones had a list under 1 s old. Change: a node gossips without its address for callers until it has a baseline and a fresh view; lists leave out nodes without an address.

--- a/src/galenapulley/membership.cpp
+++ b/src/galenapulley/membership.cpp
@@ -221,6 +221,8 @@
         it.heard_at.reset();
     if (is_full(entry))
     {
+        if (it.listen_address != entry.listen_address())
+            it.news_left = news_budget();
         it.zone = entry.zone();
         it.peer_address = entry.peer_address();
         it.listen_address = entry.listen_address();
@@ -339,17 +341,18 @@
 
 void membership::add_own_entry(wire::gossip& message, const member* to)
 {
-    write_entry({.node = options_.node,
-                 .zone = options_.zone,
-                 .peer_address = options_.peer_address,
-                 .listen_address = options_.listen_address,
-                 .incarnation = options_.incarnation,
-                 .heartbeat = heartbeat_,
-                 .leaving = leaving_,
-                 .heard_at = std::nullopt},
-                leaving_ || heartbeat_ <= full_heartbeats ||
-                    wants_full_entry(to),
-                *message.add_members());
+    write_entry(
+        {.node = options_.node,
+         .zone = options_.zone,
+         .peer_address = options_.peer_address,
+         .listen_address = serving_ ? options_.listen_address : std::string(),
+         .incarnation = options_.incarnation,
+         .heartbeat = heartbeat_,
+         .leaving = leaving_,
+         .heard_at = std::nullopt},
+        leaving_ || heartbeat_ <= std::max(full_heartbeats, full_until_) ||
+            wants_full_entry(to),
+        *message.add_members());
 }
 
 bool membership::wants_full_entry(const member* to)
@@ -447,6 +450,15 @@
     next_tick_.reset();
 }
 
+void membership::set_serving(bool serving)
+{
+    if (serving == serving_)
+        return;
+    serving_ = serving;
+    full_until_ = heartbeat_ + full_heartbeats;
+    next_tick_.reset();
+}
+
 void membership::add_seed(const std::string& peer_address)
 {
     auto& seeds = options_.seeds;
--- a/src/galenapulley/membership.hpp
+++ b/src/galenapulley/membership.hpp
@@ -114,6 +114,10 @@
     /// Announces that this node stops; the next tick sends at once.
     void announce_leaving();
     bool leaving() const { return leaving_; }
+    /// A node that can't serve yet takes part in gossip without the address
+    /// for callers, so that no node lists it. Nodes serve from the start
+    /// unless told otherwise.
+    void set_serving(bool serving);
     /// Adds a peer address to contact, for example from a `nodes/` row.
     void add_seed(const std::string& peer_address);
 
@@ -207,6 +211,9 @@
     std::string owner_cursor_;
     std::size_t list_cursor_ = 0;
     bool leaving_ = false;
+    bool serving_ = true;
+    /// Own entries are full up to this heartbeat after a change.
+    std::int64_t full_until_ = 0;
     bool leaving_announced_ = false;
     std::optional<std::int64_t> superseded_by_;
 };
--- a/src/galenapulley/membership_view.cpp
+++ b/src/galenapulley/membership_view.cpp
@@ -56,14 +56,15 @@
 std::vector<listed_node> membership::list_nodes(std::size_t max, msec now)
 {
     std::map<std::string, std::vector<listed_node>> zones;
-    if (!leaving_)
+    if (!leaving_ && serving_)
         zones[options_.zone].push_back({.node = options_.node,
                                         .zone = options_.zone,
                                         .address = options_.listen_address});
     for (const auto* it : live_members(now))
-        zones[it->zone].push_back({.node = it->node,
-                                   .zone = it->zone,
-                                   .address = it->listen_address});
+        if (!it->listen_address.empty())
+            zones[it->zone].push_back({.node = it->node,
+                                       .zone = it->zone,
+                                       .address = it->listen_address});
     std::vector<std::vector<listed_node>> order;
     if (auto own = zones.extract(options_.zone))
         order.push_back(std::move(own.mapped()));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -208,6 +208,7 @@
             spdlog::error("{} version {} does not parse: {}", it.name,
                           it.version, std::string(status.message()));
         });
+    members_.set_serving(false);
     members_.set_fill([this](wire::gossip& message, std::size_t max_strikes)
                       { fill_gossip(message, max_strikes); });
     server_ = std::make_unique<http_server>(
@@ -269,6 +270,8 @@
         else
             spdlog::warn("view is stale: no new work");
     }
+    if (fresh && sync_.has_baseline())
+        members_.set_serving(true);
     check_stopped();
 }
 
