--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -246,7 +246,7 @@
     handed_over_ = true;
     segments_->start(
         [weak = weak_from_this()](const absl::Status& status,
-                                  const std::string& failed)
+                                  const segment_run::failure& failed)
         {
             const auto self = weak.lock();
             if (!self || self->ended_already_)
@@ -256,7 +256,13 @@
                 self->start_attempt();
                 return;
             }
-            self->excluded_.push_back(failed);
+            self->excluded_.push_back(failed.back_end);
+            if (failed.lost_in_prefill)
+            {
+                self->attempt_id_ = self->segments_->id();
+                self->probe_crash(failed.address);
+                return;
+            }
             self->parts_.counts.count(retry_reason::back_end_failed);
             self->retry_elsewhere(permit_outcome::failed);
         });
@@ -354,9 +360,10 @@
     excluded_.push_back(failed);
     if (relay_->has_sent())
     {
-        if (result.error == transfer_error::not_connected)
+        const bool gone = result.error == transfer_error::not_connected;
+        if (gone)
             record_strike();
-        release_permit(permit_outcome::failed);
+        release_permit(gone ? permit_outcome::crashed : permit_outcome::failed);
         refuse(make_error(error_kind::stream_broken,
                           "the stream of " + failed +
                               " ended early: " + relay_->reason()));
@@ -365,10 +372,11 @@
     if (result.error == transfer_error::not_connected)
     {
         parts_.counts.count(retry_reason::connect_failed);
-        retry_elsewhere(permit_outcome::failed);
+        // The owner must not send others there until the next load report.
+        retry_elsewhere(permit_outcome::crashed);
     }
     else if (result.error == transfer_error::broken)
-        probe_crash();
+        probe_crash(back_end_address());
     else
     {
         parts_.counts.count(retry_reason::back_end_failed);
@@ -376,10 +384,10 @@
     }
 }
 
-void completion_session::probe_crash()
+void completion_session::probe_crash(const std::string& address)
 {
     http_call call;
-    call.url = "http://" + back_end_address() + "/load";
+    call.url = "http://" + address + "/load";
     call.connect_timeout = probe_timeout;
     call.timeout = probe_timeout;
     parts_.engines.start(
@@ -431,9 +439,8 @@
     if (now >= deadline_)
     {
         cancel_upstream();
-        refuse(make_error(handed_over_ || transfer_ != 0
-                              ? error_kind::deadline_exceeded
-                              : error_kind::deadline_unreachable,
+        refuse(make_error(handed_over_ ? error_kind::deadline_exceeded
+                                       : error_kind::deadline_unreachable,
                           "the answer was not complete in time"));
         return;
     }
@@ -458,7 +465,6 @@
 void completion_session::on_stalled()
 {
     cancel_upstream();
-    handed_over_ = true;
     attempt_id_.clear();
     relay_->end_of_input();
     const http_result result{.error = transfer_error::timed_out};
@@ -470,6 +476,8 @@
 {
     if (transfer_ == 0)
         return;
+    // The engine may have begun, so a refusal must not say "not run".
+    handed_over_ = true;
     parts_.engines.cancel(std::exchange(transfer_, 0));
     http_call call;
     call.method = "POST";
