--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -113,6 +113,8 @@
         std::uint32_t tokens = 0;
         /// Prefill work before and including this prompt at the grant.
         std::uint64_t prefill_tokens = 0;
+        /// ended_tokens() of the back end at the grant.
+        std::uint64_t ended_tokens = 0;
     };
 
     struct running_permit
@@ -164,6 +166,8 @@
     msec expected_wait(const permit_query& query) const;
     msec expected_start(const permit_query& query) const;
     permit_decision enqueue(permit_query&& query);
+    /// This shard's part of a customer's limit, which holds over all shards.
+    std::uint32_t share_of_limit(std::uint32_t limit) const;
     customer_load& load_of(const std::string& customer);
 
     // Placement.
@@ -172,6 +176,10 @@
     bool is_usable_for(const permit_query& query,
                        const back_end_load& load) const;
     bool is_long(std::size_t length_class) const;
+    bool is_short(const permit_query& query) const;
+    /// The class that limits and queues apply to.
+    std::size_t effective_class(std::uint32_t prompt_tokens,
+                                bool is_segmented) const;
     std::uint32_t slots_left(const back_end_load& load,
                              std::size_t length_class) const;
     std::uint32_t kv_limit(const back_end_load& load) const;
@@ -201,6 +209,7 @@
     void book(const permit_key& key, running_permit&& permit);
     permit_map::iterator end_permit(permit_map::iterator it);
     void learn(const running_permit& permit, const permit_result& result);
+    void learn_first_token(const booked_share& share, msec took);
     using queue_map = std::unordered_map<permit_key, queued_permit, key_hash>;
     queue_map::iterator remove_queued(queue_map::iterator it);
     void rebuild_loads(const std::vector<back_end>& back_ends);
@@ -241,6 +250,8 @@
     std::size_t next_class_ = 0;
     /// Back ends of the whole service that documents take out of service.
     std::size_t withdrawn_ = 0;
+    /// Shards of the service that have an admitted back end; at least 1.
+    std::uint32_t active_shards_ = 1;
     /// Classes from this one on give way to shorter ones.
     std::size_t first_yielding_ = static_cast<std::size_t>(-1);
     /// Whether queued requests have to be checked for a usable back end.
--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -4,6 +4,7 @@
 #include "galenapulley/counters.hpp"
 #include "galenapulley/fleet.hpp"
 #include "galenapulley/latency.hpp"
+#include "galenapulley/placement.hpp"
 #include "galenapulley/retry_budget.hpp"
 #include "galenapulley/service.hpp"
 #include "galenapulley/view_freshness.hpp"
@@ -240,12 +241,12 @@
     }
     const auto id = parts_.node + "." + std::to_string(parts_.incarnation) +
                     "." + std::to_string(permit_);
-    segments_ =
-        std::make_shared<segment_run>(parts_, id, std::move(list), deadline_);
+    segments_ = std::make_shared<segment_run>(parts_, id, std::move(list),
+                                              priority(), deadline_);
     handed_over_ = true;
     segments_->start(
         [weak = weak_from_this()](const absl::Status& status,
-                                  const std::string& failed)
+                                  const segment_run::failure& failed)
         {
             const auto self = weak.lock();
             if (!self || self->ended_already_)
@@ -255,7 +256,13 @@
                 self->start_attempt();
                 return;
             }
-            self->excluded_.push_back(failed);
+            self->excluded_.push_back(failed.back_end);
+            if (failed.lost_in_prefill)
+            {
+                self->attempt_id_ = self->segments_->id();
+                self->probe_crash(failed.address);
+                return;
+            }
             self->parts_.counts.count(retry_reason::back_end_failed);
             self->retry_elsewhere(permit_outcome::failed);
         });
@@ -267,6 +274,11 @@
     return target == nullptr ? std::string() : target->address;
 }
 
+std::size_t completion_session::priority() const
+{
+    return placement_uses_classes(service_->placement) ? length_class_ : 0;
+}
+
 std::string completion_session::attempt_body() const
 {
     json body{{"request_id", attempt_id_},
@@ -274,7 +286,7 @@
               {"prompt", request_.prompt},
               {"max_tokens", request_.max_tokens},
               {"stream", true},
-              {"priority", length_class_}};
+              {"priority", priority()}};
     if (relay_->next_index() > 0)
         body["resume_from"] = relay_->next_index();
     if (segments_)
@@ -348,9 +360,10 @@
     excluded_.push_back(failed);
     if (relay_->has_sent())
     {
-        if (result.error == transfer_error::not_connected)
+        const bool gone = result.error == transfer_error::not_connected;
+        if (gone)
             record_strike();
-        release_permit(permit_outcome::failed);
+        release_permit(gone ? permit_outcome::crashed : permit_outcome::failed);
         refuse(make_error(error_kind::stream_broken,
                           "the stream of " + failed +
                               " ended early: " + relay_->reason()));
@@ -359,10 +372,11 @@
     if (result.error == transfer_error::not_connected)
     {
         parts_.counts.count(retry_reason::connect_failed);
-        retry_elsewhere(permit_outcome::failed);
+        // The owner must not send others there until the next load report.
+        retry_elsewhere(permit_outcome::crashed);
     }
     else if (result.error == transfer_error::broken)
-        probe_crash();
+        probe_crash(back_end_address());
     else
     {
         parts_.counts.count(retry_reason::back_end_failed);
@@ -370,10 +384,10 @@
     }
 }
 
-void completion_session::probe_crash()
+void completion_session::probe_crash(const std::string& address)
 {
     http_call call;
-    call.url = "http://" + back_end_address() + "/load";
+    call.url = "http://" + address + "/load";
     call.connect_timeout = probe_timeout;
     call.timeout = probe_timeout;
     parts_.engines.start(
@@ -425,9 +439,8 @@
     if (now >= deadline_)
     {
         cancel_upstream();
-        refuse(make_error(handed_over_ || transfer_ != 0
-                              ? error_kind::deadline_exceeded
-                              : error_kind::deadline_unreachable,
+        refuse(make_error(handed_over_ ? error_kind::deadline_exceeded
+                                       : error_kind::deadline_unreachable,
                           "the answer was not complete in time"));
         return;
     }
@@ -452,7 +465,6 @@
 void completion_session::on_stalled()
 {
     cancel_upstream();
-    handed_over_ = true;
     attempt_id_.clear();
     relay_->end_of_input();
     const http_result result{.error = transfer_error::timed_out};
@@ -464,6 +476,8 @@
 {
     if (transfer_ == 0)
         return;
+    // The engine may have begun, so a refusal must not say "not run".
+    handed_over_ = true;
     parts_.engines.cancel(std::exchange(transfer_, 0));
     http_call call;
     call.method = "POST";
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,6 +24,8 @@
 constexpr msec vm_list_timeout = 2000_ms;
 constexpr msec settled_after = 10'000_ms;
 constexpr msec release_timeout = 3000_ms;
+/// Longest time that a stop waits for records of actions.
+constexpr msec record_grace = 10'000_ms;
 
 std::uint16_t port_of(const std::string& address)
 {
@@ -140,6 +142,7 @@
               .config = config_,
               .orders = orders_,
               .counts = counters_,
+              .sync = sync_,
               .status =
                   [this]
               {
@@ -207,6 +210,7 @@
             spdlog::error("{} version {} does not parse: {}", it.name,
                           it.version, std::string(status.message()));
         });
+    members_.set_serving(false);
     members_.set_fill([this](wire::gossip& message, std::size_t max_strikes)
                       { fill_gossip(message, max_strikes); });
     server_ = std::make_unique<http_server>(
@@ -257,6 +261,8 @@
         else
             spdlog::warn("view is stale: no new work");
     }
+    if (fresh && sync_.has_baseline())
+        members_.set_serving(true);
     check_stopped();
 }
 
@@ -483,8 +489,13 @@
 {
     const bool drained = stopping_ && sessions() == 0 &&
                          clock_.now() - stop_began_ > settings_.drain;
-    if (!drained || std::exchange(released_, true))
+    if (!drained || released_)
         return;
+    // Records of finished actions are written first, for a bounded time.
+    if (ledger_.background_writes() > 0 &&
+        clock_.now() - stop_began_ < settings_.drain + record_grace)
+        return;
+    released_ = true;
     lease_.release([this] { loop_.stop(); });
     // The store may be away; the lease then lapses by itself.
     loop_.call_after(release_timeout, [this] { loop_.stop(); });
