Completion: escape the prompt on the caller's HTTP thread

The prompt becomes a JSON string when the request is parsed, on the HTTP thread, and is put into the body as it is. It is held twice until the request ends.

A test sends prompts with quotes, escapes, control characters and multi-byte text, since the body is no longer built by the JSON library as a whole.

--- a/src/node/completion_request.cpp
+++ b/src/node/completion_request.cpp
@@ -90,6 +90,7 @@
     out.token_sha256 =
         token_hash(bearer_token(request.header("authorization")));
     out.model = body["model"].get<std::string>();
+    out.prompt_json = body["prompt"].dump();
     out.prompt = std::move(body["prompt"].get_ref<std::string&>());
     out.prompt_tokens = estimate_tokens(out.prompt.size());
     out.max_tokens = body.value("max_tokens", 0U);
--- a/src/node/completion_request.hpp
+++ b/src/node/completion_request.hpp
@@ -21,6 +21,9 @@
     std::string token_sha256;
     std::string model;
     std::string prompt;
+    /// The prompt as a JSON string. Made on the caller's HTTP thread: escaping
+    /// 1 MB would hold up the control thread for milliseconds.
+    std::string prompt_json;
     std::uint32_t prompt_tokens = 0;
     /// 0 if the caller named none.
     std::uint32_t max_tokens = 0;
--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -283,7 +283,6 @@
 {
     json body{{"request_id", attempt_id_},
               {"model", request_.model},
-              {"prompt", request_.prompt},
               {"max_tokens", request_.max_tokens},
               {"stream", true},
               {"priority", priority()}};
@@ -296,7 +295,11 @@
             body["segments"].push_back(
                 {{"address", it.address}, {"reservation", segments_->id()}});
     }
-    return body.dump();
+    // The prompt was made into JSON when the request was read.
+    auto text = body.dump();
+    text.back() = ',';
+    text.append("\"prompt\":").append(request_.prompt_json).append("}");
+    return text;
 }
 
 void completion_session::start_attempt()
--- a/tests/fault/bad_input_test.cpp
+++ b/tests/fault/bad_input_test.cpp
@@ -219,6 +219,21 @@
           400, "bad_request", "x-expected-version");
 }
 
+// Guards against a prompt that reaches the engine altered, or breaks the body
+// sent there: the prompt is put into that body as text.
+BOOST_AUTO_TEST_CASE(prompts_with_special_characters_arrive_unchanged)
+{
+    for (const std::string& prompt : std::vector<std::string>{
+             "\"},\"max_tokens\":1,{\"", "back\\slash\nnew line\ttab \x01 \x7f",
+             "\xe9\xad\x9a \xf0\x9f\x90\x9f \xc3\xa9 \xe2\x80\xa8",
+             "\\u0041 \\"})
+    {
+        const auto result = fleet.complete(0, prompt, 2);
+        BOOST_TEST(result.status == 200);
+        BOOST_TEST((completion_text(result) == expected_text(prompt, 2)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a node that starts with settings it does not understand, or
