Freshness: count only reads and peers that vouch for the documents held

Cause, by reading: a peer's age of the newest config_head read was taken as the own node's, also when the peer's documents were newer. A node that had missed a withdrawal and resumed was fresh with the first reply and pulled the documents only afterwards. After a late tick, peers heard before the pause still counted, because the window of view_freshness was not used.

Change: a peer's age counts only if its config_digest equals the own one, and the peers heard are counted in view_freshness::heard_window.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -274,7 +274,7 @@
 void node::run_gossip_tick()
 {
     const auto now = clock_.now();
-    const auto window = settings_.view_max_age;
+    const auto window = freshness_.heard_window(now);
     const auto resets = freshness_.resets();
     freshness_.tick(now,
                     {.known_peers = members_.known_peers(),
@@ -368,7 +368,9 @@
         note_incarnation(known->node, known->incarnation);
         monitor_.on_node_heard(known->node, known->incarnation);
     }
-    if (const auto proven = members_.proven_time(body))
+    // A peer's read vouches only for the documents that the peer holds.
+    if (const auto proven = members_.proven_time(body);
+        proven && body.config_digest() == registry_.digest())
         freshness_.note_peer_age(*proven, body.store_read_age_ms());
     for (const auto& it : body.strikes())
         strikes_.add({.fingerprint = it.fingerprint(),
