Permit desk: ask again while a shard has no owner

Cause: a request that found no answering owner was refused with no_back_end after at most 3 x 300 ms, although a released shard has a new owner within about 3 s and the request had 30 s. An owner just resumed refused with `isolated`, and its refusal ended the request in the same way.

Change: such a request goes through the shards again every 200 ms for up to 5 s, within its deadline, as long as a back end of its service is not withdrawn. Other refusals are final as before.

--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -93,7 +93,8 @@
     query.key = key_of(request);
     waiting_.emplace(request, waiting_request{.target = target,
                                               .query = std::move(query),
-                                              .done = std::move(done)});
+                                              .done = std::move(done),
+                                              .asked_at = parts_.time.now()});
     try_next(request);
     return request;
 }
@@ -114,7 +115,8 @@
                                            random_);
     if (!shard)
     {
-        give_up(request);
+        if (!ask_again_later(it))
+            give_up(request);
         return;
     }
     it.shard = *shard;
@@ -153,6 +155,44 @@
     send_to(it.owner, message);
 }
 
+bool permit_desk::ask_again_later(waiting_request& it)
+{
+    const auto now = parts_.time.now();
+    const auto kind =
+        it.refusal.ok() ? error_kind::no_back_end : kind_of(it.refusal);
+    const auto current = parts_.registry.current_fleet();
+    const auto& back_ends = it.target->back_ends;
+    const bool can_recover =
+        (kind == error_kind::no_back_end || kind == error_kind::isolated) &&
+        std::any_of(back_ends.begin(), back_ends.end(),
+                    [&](const back_end& target)
+                    { return current->admits(target); });
+    if (!can_recover || now - it.asked_at >= options_.ownerless_patience)
+        return false;
+    it.ask_again_at = now + options_.ownerless_interval;
+    it.tried.clear();
+    it.shard.clear();
+    it.owner.clear();
+    it.refusal = absl::OkStatus();
+    return true;
+}
+
+void permit_desk::ask_again(msec now)
+{
+    std::vector<std::uint64_t> due;
+    for (const auto& [request, it] : waiting_)
+        if (it.ask_again_at && now >= *it.ask_again_at)
+            due.push_back(request);
+    for (const auto request : due)
+    {
+        const auto found = waiting_.find(request);
+        if (found == waiting_.end())
+            continue;
+        found->second.ask_again_at.reset();
+        try_next(request);
+    }
+}
+
 void permit_desk::give_up(std::uint64_t request)
 {
     auto entry = waiting_.extract(request);
@@ -246,6 +286,8 @@
     std::vector<std::uint64_t> silent;
     for (const auto& [request, it] : waiting_)
     {
+        if (it.ask_again_at)
+            continue;
         const auto limit =
             it.queued ? options_.queue_silence : options_.reply_timeout;
         const bool is_local =
@@ -329,6 +371,7 @@
     for (const auto& it : schedulers_)
         tick_scheduler(*it.second);
     check_silence();
+    ask_again(parts_.time.now());
     send_keep_alives();
 }
 
--- a/src/node/permit_desk.hpp
+++ b/src/node/permit_desk.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -51,6 +52,10 @@
     /// A grant counts only if its owner was heard this recently.
     msec grant_validity = 2000;
     std::size_t max_shards = 3;
+    /// A request that finds no owner is asked again in these intervals for
+    /// this long; a released shard has a new owner within this time.
+    msec ownerless_interval = 200;
+    msec ownerless_patience = 5000;
     std::uint64_t seed = 1;
 };
 
@@ -125,6 +130,9 @@
         msec heard_at = 0;
         bool queued = false;
         absl::Status refusal;
+        msec asked_at = 0;
+        /// When to go through the shards again.
+        std::optional<msec> ask_again_at;
     };
 
     struct held_permit
@@ -147,6 +155,8 @@
     void try_next(std::uint64_t request);
     void send_question(std::uint64_t request, waiting_request& it);
     void give_up(std::uint64_t request);
+    bool ask_again_later(waiting_request& it);
+    void ask_again(msec now);
     void take_grant(std::uint64_t request, const std::string& shard,
                     std::vector<permit_share> shares);
     void take_refusal(std::uint64_t request, const std::string& shard,
