--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -264,6 +264,21 @@
 
 void process_fleet::install()
 {
+    // A node that knew no other one would claim the shards of all zones.
+    const auto is_connected = [this]
+    {
+        for (std::size_t n = 0; n < nodes_.size(); ++n)
+        {
+            const auto now = status(n);
+            if (!now.value("lease_held", false) || !now.value("fresh", false) ||
+                now["nodes"].size() + 1 < nodes_.size())
+                return false;
+        }
+        return true;
+    };
+    if (!wait_until(is_connected, install_timeout))
+        throw std::runtime_error("the nodes did not connect; logs are in " +
+                                 directory_);
     const auto put = [this](const std::string& name, const json& document)
     {
         const bool done = wait_until(
