--- a/src/node/node_stop.cpp
+++ b/src/node/node_stop.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr msec release_timeout = 3000_ms;
+/// Longest time that a stop waits for records of actions.
+constexpr msec record_grace = 10'000_ms;
 
 } // namespace
 
@@ -44,8 +46,13 @@
 {
     const bool drained = stopping_ && sessions() == 0 &&
                          clock_.now() - stop_began_ > settings_.drain;
-    if (!drained || std::exchange(released_, true))
+    if (!drained || released_)
         return;
+    // Records of finished actions are written first, for a bounded time.
+    if (ledger_.background_writes() > 0 &&
+        clock_.now() - stop_began_ < settings_.drain + record_grace)
+        return;
+    released_ = true;
     lease_.release([this] { loop_.stop(); });
     // The store may be away; the lease then lapses by itself.
     loop_.call_after(release_timeout, [this] { loop_.stop(); });
--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -21,8 +21,7 @@
 /// Refusals that another shard of the service would repeat.
 bool is_final(error_kind kind)
 {
-    return kind == error_kind::customer_limit ||
-           kind == error_kind::request_quarantined ||
+    return kind == error_kind::request_quarantined ||
            kind == error_kind::bad_request;
 }
 
@@ -375,6 +374,13 @@
     send_keep_alives();
 }
 
+bool permit_desk::has_waiting() const
+{
+    return !waiting_.empty() ||
+           std::any_of(schedulers_.begin(), schedulers_.end(),
+                       [](const auto& it) { return it.second->queued() > 0; });
+}
+
 void permit_desk::on_owner_changed(const std::string& shard)
 {
     const auto picker = pickers_.find(service_of_shard(shard));
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -25,10 +25,14 @@
 constexpr msec install_timeout = 30'000_ms;
 constexpr msec poll_interval = 25_ms;
 
-std::string program(const char* variable, const char* fallback)
+/// Path of a program from the environment, or beside the running test.
+std::string program(const char* variable, const char* beside)
 {
     const char* path = std::getenv(variable);
-    return path != nullptr ? path : fallback;
+    if (path != nullptr)
+        return path;
+    const auto self = std::filesystem::read_symlink("/proc/self/exe");
+    return (self.parent_path() / beside).string();
 }
 
 std::string make_directory()
@@ -72,7 +76,10 @@
             address));
         list.back()->start();
     };
-    for (std::size_t n = 0; n < options_.zones * options_.engines_per_zone; ++n)
+    const auto engine_count = options_.engines != 0
+                                  ? options_.engines
+                                  : options_.zones * options_.engines_per_zone;
+    for (std::size_t n = 0; n < engine_count; ++n)
         add("engine", n, engines_, options_.engine_args);
     for (std::size_t n = 0; n < options_.zones * options_.plains_per_zone; ++n)
         add("plain", n, plains_, options_.plain_args);
@@ -81,7 +88,7 @@
     for (const auto& it : plains_)
         wait_listening(it->address(), "/stats");
 
-    const auto binary = program("GALENAPULLEY_BINARY", "galenapulley");
+    const auto binary = program("GALENAPULLEY_BINARY", "../galenapulley");
     const auto count = options_.zones * options_.nodes_per_zone;
     for (std::size_t n = 0; n < count; ++n)
         nodes_.push_back(std::make_unique<child_process>(
@@ -229,16 +236,18 @@
 
 json process_fleet::drafting_document() const
 {
-    return {{"service", "drafting"},
-            {"team", "team"},
-            {"kind", "model"},
-            {"models", {"drafter"}},
-            {"placement", options_.placement},
-            {"customers",
-             {{{"name", "customer"},
-               {"token_sha256", token_hash(customer_token)},
-               {"max_in_flight", 1000}}}},
-            {"back_ends", back_ends(false)}};
+    json document{{"service", "drafting"},
+                  {"team", "team"},
+                  {"kind", "model"},
+                  {"models", {"drafter"}},
+                  {"placement", options_.placement},
+                  {"customers",
+                   {{{"name", "customer"},
+                     {"token_sha256", token_hash(customer_token)},
+                     {"max_in_flight", 1000}}}},
+                  {"back_ends", back_ends(false)}};
+    document.update(options_.drafting);
+    return document;
 }
 
 json process_fleet::records_document() const
