--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,9 +23,6 @@
 constexpr msec vm_list_period = 5000_ms;
 constexpr msec vm_list_timeout = 2000_ms;
 constexpr msec settled_after = 10'000_ms;
-constexpr msec release_timeout = 3000_ms;
-/// Longest time that a stop waits for records of actions.
-constexpr msec record_grace = 10'000_ms;
 
 std::uint16_t port_of(const std::string& address)
 {
@@ -287,12 +284,7 @@
         begin_stop();
         return;
     }
-    std::vector<known_node> nodes;
-    for (const auto* it : members_.live_members(now))
-        nodes.push_back({.node = it->node, .zone = it->zone});
-    nodes.push_back(
-        {.node = settings_.node, .zone = settings_.zone, .leaving = stopping_});
-    claims_.set_nodes(nodes);
+    update_candidates();
     for (const auto& it : members_.tick(now))
     {
         wire::peer_message message;
@@ -301,6 +293,18 @@
     }
 }
 
+void node::update_candidates()
+{
+    std::vector<known_node> nodes;
+    for (const auto* it : members_.live_members(clock_.now()))
+        nodes.push_back({.node = it->node,
+                         .zone = it->zone,
+                         .incarnation = it->incarnation});
+    nodes.push_back(
+        {.node = settings_.node, .zone = settings_.zone, .leaving = stopping_});
+    claims_.set_nodes(nodes);
+}
+
 void node::read_vm_list()
 {
     // Only owners act on the list. Read by all nodes it grows with the square
@@ -370,7 +374,9 @@
         note_incarnation(known->node, known->incarnation);
         monitor_.on_node_heard(known->node, known->incarnation);
     }
-    if (const auto proven = members_.proven_time(body))
+    // A peer's read vouches only for the documents that the peer holds.
+    if (const auto proven = members_.proven_time(body);
+        proven && body.config_digest() == registry_.digest())
         freshness_.note_peer_age(*proven, body.store_read_age_ms());
     for (const auto& it : body.strikes())
         strikes_.add({.fingerprint = it.fingerprint(),
@@ -382,6 +388,8 @@
     config_.on_peer_config(message.from(), body.config_head(),
                            body.config_digest());
     const auto* sender = members_.find(message.from());
+    if (sender != nullptr && sender->leaving)
+        update_candidates();
     if (reply && sender != nullptr)
     {
         wire::peer_message answer;
@@ -429,6 +437,7 @@
     for (const auto& it : registry_.services())
         for (auto& shard : it->shards())
             shards.push_back(std::move(shard));
+    update_candidates();
     claims_.set_shards(shards);
     desk_.on_services_changed();
 }
@@ -463,42 +472,4 @@
     return freshness_.fresh_for(settled_after, clock_.now());
 }
 
-void node::request_stop()
-{
-    loop_.post([this] { begin_stop(); });
-}
-
-void node::begin_stop()
-{
-    if (std::exchange(stopping_, true))
-        return;
-    spdlog::info("stopping: {} requests in progress", sessions());
-    stop_began_ = clock_.now();
-    members_.announce_leaving();
-    lease_.announce_leaving();
-    run_gossip_tick();
-    claims_.release_all(release_timeout, [] {});
-}
-
-std::size_t node::sessions() const
-{
-    return completions_.size() + plains_.size();
-}
-
-void node::check_stopped()
-{
-    const bool drained = stopping_ && sessions() == 0 &&
-                         clock_.now() - stop_began_ > settings_.drain;
-    if (!drained || released_)
-        return;
-    // Records of finished actions are written first, for a bounded time.
-    if (ledger_.background_writes() > 0 &&
-        clock_.now() - stop_began_ < settings_.drain + record_grace)
-        return;
-    released_ = true;
-    lease_.release([this] { loop_.stop(); });
-    // The store may be away; the lease then lapses by itself.
-    loop_.call_after(release_timeout, [this] { loop_.stop(); });
-}
-
 } // namespace galenapulley
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -80,6 +80,7 @@
     bool needs_fast_tick() const;
     void run_control_tick();
     void run_gossip_tick();
+    void update_candidates();
     void read_vm_list();
 
     // Peer messages.
