--- a/src/node/permit_desk.hpp
+++ b/src/node/permit_desk.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -51,11 +52,10 @@
     /// A grant counts only if its owner was heard this recently.
     msec grant_validity = 2000;
     std::size_t max_shards = 3;
-    /// A request waits this long while no shard has an owner that answers. A
-    /// released shard is claimed after at most a few times 500 ms, gossip tells
-    /// of it within seconds, and the new owner grants nothing for 1 s.
+    /// A request that finds no owner is asked again in these intervals for
+    /// this long; a released shard has a new owner within this time.
+    msec owner_retry_interval = 200;
     msec owner_wait = 5000;
-    msec owner_retry = 100;
     std::uint64_t seed = 1;
 };
 
@@ -133,8 +133,8 @@
         bool queued = false;
         absl::Status refusal;
         msec asked_at = 0;
-        /// When to ask again, if no owner was found; 0 while one is asked.
-        msec retry_at = 0;
+        /// When to go through the shards again.
+        std::optional<msec> ask_again_at;
     };
 
     struct held_permit
@@ -157,8 +157,8 @@
     void try_next(std::uint64_t request);
     void send_question(std::uint64_t request, waiting_request& it);
     void give_up(std::uint64_t request);
-    bool wait_for_owner(waiting_request& it);
-    void retry_parked();
+    bool ask_again_later(waiting_request& it);
+    void ask_again(msec now);
     void take_grant(std::uint64_t request, const std::string& shard,
                     std::vector<permit_share> shares);
     void take_refusal(std::uint64_t request, const std::string& shard,
