--- a/src/galenapulley/membership.cpp
+++ b/src/galenapulley/membership.cpp
@@ -221,6 +221,8 @@
         it.heard_at.reset();
     if (is_full(entry))
     {
+        if (it.listen_address != entry.listen_address())
+            it.news_left = news_budget();
         it.zone = entry.zone();
         it.peer_address = entry.peer_address();
         it.listen_address = entry.listen_address();
@@ -331,7 +333,7 @@
     if (to != nullptr)
         write_entry(*to, false, *message->add_members());
     add_members(*message, to, entries, now);
-    add_shard_owners(*message);
+    add_shard_owners(*message, to);
     if (fill_)
         fill_(*message, options_.max_strikes);
     return message;
@@ -339,17 +341,18 @@
 
 void membership::add_own_entry(wire::gossip& message, const member* to)
 {
-    write_entry({.node = options_.node,
-                 .zone = options_.zone,
-                 .peer_address = options_.peer_address,
-                 .listen_address = options_.listen_address,
-                 .incarnation = options_.incarnation,
-                 .heartbeat = heartbeat_,
-                 .leaving = leaving_,
-                 .heard_at = std::nullopt},
-                leaving_ || heartbeat_ <= full_heartbeats ||
-                    wants_full_entry(to),
-                *message.add_members());
+    write_entry(
+        {.node = options_.node,
+         .zone = options_.zone,
+         .peer_address = options_.peer_address,
+         .listen_address = serving_ ? options_.listen_address : std::string(),
+         .incarnation = options_.incarnation,
+         .heartbeat = heartbeat_,
+         .leaving = leaving_,
+         .heard_at = std::nullopt},
+        leaving_ || heartbeat_ <= std::max(full_heartbeats, full_until_) ||
+            wants_full_entry(to),
+        *message.add_members());
 }
 
 bool membership::wants_full_entry(const member* to)
@@ -388,7 +391,7 @@
     }
 }
 
-void membership::add_shard_owners(wire::gossip& message)
+void membership::add_shard_owners(wire::gossip& message, const member* to)
 {
     const auto add = [&](const shard_owner& it)
     {
@@ -402,6 +405,11 @@
         return options_.max_shard_owners >
                static_cast<std::size_t>(message.shard_owners_size());
     };
+    // Repeats only mend what was lost. With eight of them in every message,
+    // owners were a third of the bytes of gossip.
+    const bool is_new = to == nullptr || to->news_left > 0;
+    const std::size_t repeated =
+        is_new ? options_.max_shard_owners : options_.repeated_shard_owners;
     std::set<const owner_record*> sent;
     for (auto& [shard, it] : owners_)
     {
@@ -414,7 +422,8 @@
     rotate(owners_, owner_cursor_,
            [&](owner_record& it)
            {
-               if (!space())
+               if (!space() || static_cast<std::size_t>(
+                                   message.shard_owners_size()) >= repeated)
                    return false;
                if (sent.count(&it) == 0)
                    add(it.owner);
@@ -447,6 +456,15 @@
     next_tick_.reset();
 }
 
+void membership::set_serving(bool serving)
+{
+    if (serving == serving_)
+        return;
+    serving_ = serving;
+    full_until_ = heartbeat_ + full_heartbeats;
+    next_tick_.reset();
+}
+
 void membership::add_seed(const std::string& peer_address)
 {
     auto& seeds = options_.seeds;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -139,6 +139,7 @@
               .config = config_,
               .orders = orders_,
               .counts = counters_,
+              .sync = sync_,
               .status =
                   [this]
               {
@@ -206,6 +207,7 @@
             spdlog::error("{} version {} does not parse: {}", it.name,
                           it.version, std::string(status.message()));
         });
+    members_.set_serving(false);
     members_.set_fill([this](wire::gossip& message, std::size_t max_strikes)
                       { fill_gossip(message, max_strikes); });
     server_ = std::make_unique<http_server>(
@@ -222,12 +224,7 @@
     loop_.call_every(control_period, [this] { run_control_tick(); });
     loop_.call_every(gossip_period, [this] { run_gossip_tick(); });
     loop_.call_every(vm_list_period, [this] { read_vm_list(); });
-    loop_.post(
-        [this]
-        {
-            read_vm_list();
-            run_gossip_tick();
-        });
+    loop_.post([this] { run_gossip_tick(); });
 }
 
 void node::run()
@@ -261,6 +258,8 @@
         else
             spdlog::warn("view is stale: no new work");
     }
+    if (fresh && sync_.has_baseline())
+        members_.set_serving(true);
     check_stopped();
 }
 
@@ -308,6 +307,13 @@
 
 void node::read_vm_list()
 {
+    // Only owners act on the list. Read by all nodes it grows with the square
+    // of the fleet. An old list may not tell who is gone after a new claim.
+    if (claims_.owned().empty())
+    {
+        vm_list_read_ = false;
+        return;
+    }
     vms_.list(vm_list_timeout,
               [this](const absl::StatusOr<std::vector<vm_entry>>& list)
               {
@@ -443,6 +449,8 @@
     members_.note_shard_owner(
         {.shard = shard.shard, .node = settings_.node, .epoch = shard.epoch});
     desk_.on_shard_gained(shard);
+    if (!vm_list_read_)
+        read_vm_list();
 }
 
 void node::on_shard_lost(const std::string& shard, std::int64_t epoch)
--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -114,7 +114,7 @@
                                            random_);
     if (!shard)
     {
-        if (!ask_again_later(it))
+        if (!wait_for_owner(it))
             give_up(request);
         return;
     }
@@ -154,42 +154,33 @@
     send_to(it.owner, message);
 }
 
-bool permit_desk::ask_again_later(waiting_request& it)
+// While a shard changes its owner, the request waits here. It was refused by
+// nobody, so it would be lost to a planned stop of the owner otherwise.
+bool permit_desk::wait_for_owner(waiting_request& it)
 {
     const auto now = parts_.time.now();
-    const auto kind =
-        it.refusal.ok() ? error_kind::no_back_end : kind_of(it.refusal);
-    const auto current = parts_.registry.current_fleet();
-    const auto& back_ends = it.target->back_ends;
-    const bool can_recover =
-        (kind == error_kind::no_back_end || kind == error_kind::isolated) &&
-        std::any_of(back_ends.begin(), back_ends.end(),
-                    [&](const back_end& target)
-                    { return current->admits(target); });
-    if (!can_recover || now - it.asked_at >= options_.ownerless_patience)
+    if (!it.refusal.ok() || now >= it.asked_at + options_.owner_wait ||
+        !picker_for(it.target).has_open_zone())
         return false;
-    it.ask_again_at = now + options_.ownerless_interval;
     it.tried.clear();
     it.shard.clear();
     it.owner.clear();
-    it.refusal = absl::OkStatus();
+    it.retry_at = now + options_.owner_retry;
     return true;
 }
 
-void permit_desk::ask_again(msec now)
+void permit_desk::retry_parked()
 {
+    const auto now = parts_.time.now();
     std::vector<std::uint64_t> due;
-    for (const auto& [request, it] : waiting_)
-        if (it.ask_again_at && now >= *it.ask_again_at)
+    for (auto& [request, it] : waiting_)
+        if (it.retry_at != 0 && now >= it.retry_at)
+        {
+            it.retry_at = 0;
             due.push_back(request);
+        }
     for (const auto request : due)
-    {
-        const auto found = waiting_.find(request);
-        if (found == waiting_.end())
-            continue;
-        found->second.ask_again_at.reset();
         try_next(request);
-    }
 }
 
 void permit_desk::give_up(std::uint64_t request)
@@ -225,8 +216,15 @@
     const auto found = waiting_.find(request);
     if (found == waiting_.end() || found->second.shard != shard)
         return;
-    found->second.refusal =
-        make_error(kind, "refused by the owner of shard " + shard);
+    // No verdict: the node asked does not own the shard any more, or it was
+    // just resumed and has no fresh view yet. An own shard's refusal says that
+    // the view of this node is not fresh.
+    const bool is_verdict =
+        kind != error_kind::node_leaving &&
+        (kind != error_kind::isolated || schedulers_.count(shard) != 0);
+    if (is_verdict)
+        found->second.refusal =
+            make_error(kind, "refused by the owner of shard " + shard);
     if (is_final(kind))
         give_up(request);
     else
@@ -285,13 +283,11 @@
     std::vector<std::uint64_t> silent;
     for (const auto& [request, it] : waiting_)
     {
-        if (it.ask_again_at)
-            continue;
         const auto limit =
             it.queued ? options_.queue_silence : options_.reply_timeout;
         const bool is_local =
             schedulers_.count(it.shard) != 0 && parts_.freshness.is_fresh(now);
-        if (!is_local && now - it.heard_at > limit)
+        if (it.retry_at == 0 && !is_local && now - it.heard_at > limit)
             silent.push_back(request);
     }
     for (const auto request : silent)
@@ -370,7 +366,7 @@
     for (const auto& it : schedulers_)
         tick_scheduler(*it.second);
     check_silence();
-    ask_again(parts_.time.now());
+    retry_parked();
     send_keep_alives();
 }
 
