--- a/src/galenapulley/shard_scheduler.cpp
+++ b/src/galenapulley/shard_scheduler.cpp
@@ -273,11 +273,12 @@
     const auto& share = permit.shares.front();
     // Older permits ran in the state that the restarted ramp already reflects.
     if (permit.granted_at >= loads_[share.index].ramp().since())
-        learn_first_token(share, result.first_token);
+        learn_first_token(permit, result.first_token);
 }
 
-void shard_scheduler::learn_first_token(const booked_share& share, msec took)
+void shard_scheduler::learn_first_token(const running_permit& permit, msec took)
 {
+    const auto& share = permit.shares.front();
     auto& load = loads_[share.index];
     auto& ramp = load.ramp();
     // Engines reorder prefill by priority, and a prompt over several engines
@@ -287,7 +288,9 @@
                                     load.granted_tokens() - share.ended_tokens);
     if (!ramp.is_slow(share.prefill_tokens, took))
         ramp.on_first_token(share.prefill_tokens, took, now_);
-    else if (ramp.is_slow(most_work, took))
+    // Long prompts give way to all others, so a late one is no sign.
+    else if (!(placement_->uses_classes() && is_long(permit.length_class)) &&
+             ramp.is_slow(most_work, took))
         ramp.on_first_token(most_work, took, now_);
 }
 
--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -207,7 +207,7 @@
     void book(const permit_key& key, running_permit&& permit);
     permit_map::iterator end_permit(permit_map::iterator it);
     void learn(const running_permit& permit, const permit_result& result);
-    void learn_first_token(const booked_share& share, msec took);
+    void learn_first_token(const running_permit& permit, msec took);
     using queue_map = std::unordered_map<permit_key, queued_permit, key_hash>;
     queue_map::iterator remove_queued(queue_map::iterator it);
     void rebuild_loads(const std::vector<back_end>& back_ends);
