--- a/bench/bench_run.hpp
+++ b/bench/bench_run.hpp
@@ -46,7 +46,7 @@
     run_options options;
     std::vector<request_record> records;
     engine_totals engines;
-    /// KV memory and reservations still held after the drain time.
+    /// Whether no KV memory and no reservation was held after the drain time.
     bool memory_all_free = false;
     /// Wall-clock time from leaving to free memory, one per probe.
     std::vector<double> free_after_ms;
--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -50,6 +50,7 @@
                bench_report& report)
 {
     std::vector<std::future<run_result>> results;
+    results.reserve(group.size());
     std::barrier<> all_started(static_cast<std::ptrdiff_t>(group.size()));
     for (const auto& it : group)
         results.push_back(
--- a/bench/load_generator.cpp
+++ b/bench/load_generator.cpp
@@ -18,7 +18,6 @@
 {
 
 constexpr int http_ok = 200;
-constexpr double ms_per_s = 1000;
 /// Longer than any deadline of a workload; the node's deadline decides.
 constexpr msec call_timeout = 900'000;
 constexpr std::size_t max_error_bytes = 4096;
@@ -169,36 +168,56 @@
     ended_.wait_for(lock, wall, [this] { return open_ == 0; });
 }
 
-std::vector<request_record>
-load_generator::run(const std::vector<arrival>& arrivals,
-                    std::vector<timed_action> actions, msec drain)
+void load_generator::leave(std::uint64_t call, call_state& state)
 {
-    std::vector<std::shared_ptr<call_state>> states;
-    std::vector<std::uint64_t> calls(arrivals.size(), 0);
+    {
+        const std::lock_guard lock(mutex_);
+        state.left = true;
+    }
+    client_.cancel(call);
+}
+
+std::vector<timed_action>
+load_generator::schedule(const std::vector<arrival>& arrivals,
+                         const state_list& states,
+                         std::vector<std::uint64_t>& calls)
+{
+    std::vector<timed_action> actions;
+    actions.reserve(2 * arrivals.size());
     for (std::size_t n = 0; n < arrivals.size(); ++n)
     {
-        states.push_back(std::make_shared<call_state>());
-        states.back()->record.request = arrivals[n];
-        const auto at = arrivals[n].at_ms;
-        actions.push_back({at, [this, n, &calls, &states, &arrivals]
+        const auto& it = arrivals[n];
+        states[n]->record.request = it;
+        actions.push_back({it.at_ms,
+                           [this, &it, state = states[n], &call = calls[n]]
                            {
                                {
                                    const std::lock_guard lock(mutex_);
                                    ++open_;
                                }
-                               calls[n] = send(arrivals[n], states[n]);
+                               call = send(it, state);
                            }});
-        if (arrivals[n].leaves_after_ms > 0)
-            actions.push_back({at + arrivals[n].leaves_after_ms,
-                               [this, n, &calls, &states]
+        if (it.leaves_after_ms > 0)
+            actions.push_back({it.at_ms + it.leaves_after_ms,
+                               [this, state = states[n], &call = calls[n]]
                                {
-                                   {
-                                       const std::lock_guard lock(mutex_);
-                                       states[n]->left = true;
-                                   }
-                                   client_.cancel(calls[n]);
+                                   leave(call, *state);
                                }});
     }
+    return actions;
+}
+
+std::vector<request_record>
+load_generator::run(const std::vector<arrival>& arrivals,
+                    const std::vector<timed_action>& extra, msec drain)
+{
+    state_list states;
+    states.reserve(arrivals.size());
+    for (std::size_t n = 0; n < arrivals.size(); ++n)
+        states.push_back(std::make_shared<call_state>());
+    std::vector<std::uint64_t> calls(arrivals.size(), 0);
+    auto actions = schedule(arrivals, states, calls);
+    actions.insert(actions.end(), extra.begin(), extra.end());
     std::stable_sort(actions.begin(), actions.end(),
                      [](const timed_action& a, const timed_action& b)
                      { return a.at_ms < b.at_ms; });
@@ -214,6 +233,7 @@
     constexpr msec cancel_time = 10'000;
     wait_for_end(cancel_time);
     std::vector<request_record> records;
+    records.reserve(states.size());
     const std::lock_guard lock(mutex_);
     for (const auto& it : states)
         records.push_back(it->record);
--- a/bench/load_generator.hpp
+++ b/bench/load_generator.hpp
@@ -58,17 +58,24 @@
     /// Returns when every request has ended or the drain time is over; then
     /// the remaining requests stay pending and are cancelled.
     std::vector<request_record> run(const std::vector<arrival>& arrivals,
-                                    std::vector<timed_action> actions,
+                                    const std::vector<timed_action>& extra,
                                     msec drain);
 
 private:
     struct call_state;
     using wall_clock = std::chrono::steady_clock;
 
+    using state_list = std::vector<std::shared_ptr<call_state>>;
+
     double model_now() const;
     void wait_until_model(double at_ms) const;
     std::uint64_t send(const arrival& request,
                        const std::shared_ptr<call_state>& state);
+    void leave(std::uint64_t call, call_state& state);
+    /// The sending and leaving of every caller.
+    std::vector<timed_action> schedule(const std::vector<arrival>& arrivals,
+                                       const state_list& states,
+                                       std::vector<std::uint64_t>& calls);
     void on_data(call_state& state, int status, const std::string& chunk);
     void on_done(call_state& state, const http_result& result);
     void wait_for_end(msec drain);
