--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -372,10 +372,12 @@
     if (const auto proven = members_.proven_time(body))
         freshness_.note_peer_age(*proven, body.store_read_age_ms());
     for (const auto& it : body.strikes())
-        strikes_.add({.fingerprint = it.fingerprint(),
-                      .crash_id = it.crash_id(),
-                      .at = now - it.age_ms()},
-                     now);
+        strikes_.add(
+            {.fingerprint = it.fingerprint(),
+             .crash_id = it.crash_id(),
+             .at = now - std::clamp<msec>(it.age_ms(), 0,
+                                          strike_book::quarantine_time)},
+            now);
     for (const auto& shard : changed)
         desk_.on_owner_changed(shard);
     config_.on_peer_config(message.from(), body.config_head(),
--- a/src/node/permit_desk_owner.cpp
+++ b/src/node/permit_desk_owner.cpp
@@ -182,10 +182,12 @@
 {
     const auto now = parts_.time.now();
     for (const auto& it : message.strike().strikes())
-        parts_.strikes.add({.fingerprint = it.fingerprint(),
-                            .crash_id = it.crash_id(),
-                            .at = now - it.age_ms()},
-                           now);
+        parts_.strikes.add(
+            {.fingerprint = it.fingerprint(),
+             .crash_id = it.crash_id(),
+             .at = now - std::clamp<msec>(it.age_ms(), 0,
+                                          strike_book::quarantine_time)},
+            now);
 }
 
 void permit_desk::send_strike(const std::string& service_name,
