--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace galenapulley
