--- a/src/galenapulley/action_ledger.hpp
+++ b/src/galenapulley/action_ledger.hpp
@@ -83,7 +83,8 @@
     /// timeout.
     void begin(action_request request, begin_callback done);
 
-    /// Records the answer of a started attempt. Failed writes are repeated.
+    /// Records the answer of a started attempt. Failed writes are repeated;
+    /// `done` runs once it is recorded, or after the timeout.
     void finish(const action_key& key, const std::string& attempt_id,
                 recorded_answer answer, msec timeout = 0,
                 recorded_callback done = {});
--- a/src/galenapulley/membership.hpp
+++ b/src/galenapulley/membership.hpp
@@ -39,7 +39,10 @@
     /// For up to 35 members; see time_scale.
     msec suspect_after = 5000;
     msec drop_after = 30'000;
+    /// Shard owners in a message: new ones, or any for a receiver that just
+    /// joined; and those that are repeated to all others.
     std::size_t max_shard_owners = 8;
+    std::size_t repeated_shard_owners = 2;
     std::size_t max_strikes = 8;
     std::uint64_t seed = 1;
 };
@@ -114,6 +117,10 @@
     /// Announces that this node stops; the next tick sends at once.
     void announce_leaving();
     bool leaving() const { return leaving_; }
+    /// A node that can't serve yet takes part in gossip without the address
+    /// for callers, so that no node lists it. Nodes serve from the start
+    /// unless told otherwise.
+    void set_serving(bool serving);
     /// Adds a peer address to contact, for example from a `nodes/` row.
     void add_seed(const std::string& peer_address);
 
@@ -185,7 +192,7 @@
     bool wants_full_entry(const member* to);
     void add_members(wire::gossip& message, const member* to,
                      std::size_t entries, msec now);
-    void add_shard_owners(wire::gossip& message);
+    void add_shard_owners(wire::gossip& message, const member* to);
     std::size_t news_budget() const;
     /// Factor on suspect_after and drop_after, by the size of the fleet.
     msec time_scale() const;
@@ -207,6 +214,9 @@
     std::string owner_cursor_;
     std::size_t list_cursor_ = 0;
     bool leaving_ = false;
+    bool serving_ = true;
+    /// Own entries are full up to this heartbeat after a change.
+    std::int64_t full_until_ = 0;
     bool leaving_announced_ = false;
     std::optional<std::int64_t> superseded_by_;
 };
--- a/src/galenapulley/shard_scheduler.cpp
+++ b/src/galenapulley/shard_scheduler.cpp
@@ -58,6 +58,11 @@
     auto strategy = make_placement(service_.placement);
     placement_ =
         strategy ? std::move(strategy) : make_placement("size_interval");
+    if (!placement_->uses_classes())
+    {
+        for (auto& it : service_.classes)
+            it.reserved_percent = 0;
+    }
     rebuild_loads(service_.back_ends);
     rebuild_queues();
     update_availability();
@@ -115,7 +120,8 @@
         it.clear(classes_.size());
     for (auto& [key, permit] : permits_)
     {
-        permit.length_class = service_.class_for(permit.prompt_tokens);
+        permit.length_class =
+            effective_class(permit.prompt_tokens, permit.shares.size() > 1);
         ++classes_[permit.length_class].running;
         for (auto& share : permit.shares)
         {
@@ -137,7 +143,8 @@
     for (const auto& it : order)
     {
         auto& query = it->second.query;
-        query.length_class = service_.class_for(query.prompt_tokens);
+        query.length_class =
+            effective_class(query.prompt_tokens, needs_segments(query));
         classes_[query.length_class].queue.push(
             query.customer, load_of(query.customer).weight,
             {.id = it->second.id, .cost = query.prompt_tokens});
@@ -162,6 +169,11 @@
     withdrawn_ = static_cast<std::size_t>(
         std::count_if(service_.back_ends.begin(), service_.back_ends.end(),
                       [&](const back_end& it) { return !is_admitted(it); }));
+    std::set<std::string> active;
+    for (const auto& it : service_.back_ends)
+        if (is_admitted(it))
+            active.insert(service_.shard_of(it));
+    active_shards_ = std::max(1U, static_cast<std::uint32_t>(active.size()));
     for (auto& it : loads_)
         it.admitted = is_admitted(it.target());
     recheck_queue_ = true;
@@ -263,11 +275,25 @@
     // The first token of several segments says nothing about one back end.
     if (permit.shares.size() != 1)
         return;
-    auto& ramp = loads_[permit.shares.front().index].ramp();
+    const auto& share = permit.shares.front();
     // Older permits ran in the state that the restarted ramp already reflects.
-    if (permit.granted_at >= ramp.since())
-        ramp.on_first_token(permit.shares.front().prefill_tokens,
-                            result.first_token, now_);
+    if (permit.granted_at >= loads_[share.index].ramp().since())
+        learn_first_token(share, result.first_token);
+}
+
+void shard_scheduler::learn_first_token(const booked_share& share, msec took)
+{
+    auto& load = loads_[share.index];
+    auto& ramp = load.ramp();
+    // Engines reorder prefill by priority, and a prompt over several engines
+    // begins late. Only a first token that is too slow for all work that may
+    // have come before it tells of a cold engine.
+    const auto most_work = std::max(share.prefill_tokens,
+                                    load.granted_tokens() - share.ended_tokens);
+    if (!ramp.is_slow(share.prefill_tokens, took))
+        ramp.on_first_token(share.prefill_tokens, took, now_);
+    else if (ramp.is_slow(most_work, took))
+        ramp.on_first_token(most_work, took, now_);
 }
 
 shard_scheduler::permit_map::iterator
@@ -322,10 +348,12 @@
                 {.index = static_cast<std::size_t>(it - loads_.begin()),
                  .tokens = share.tokens});
     }
-    permit.length_class = service_.class_for(permit.prompt_tokens);
-    const auto end =
-        deadline != 0 ? deadline
-                      : now_ + service_.classes[permit.length_class].deadline;
+    permit.length_class =
+        effective_class(permit.prompt_tokens, permit.shares.size() > 1);
+    const auto document_class = service_.class_for(permit.prompt_tokens);
+    const auto end = deadline != 0
+                         ? deadline
+                         : now_ + service_.classes[document_class].deadline;
     permit.expires_at = end + release_grace;
     ++load_of(customer).in_flight;
     book(key, std::move(permit));
