--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,13 +18,11 @@
 namespace
 {
 
-constexpr msec fast_period = 10_ms;
 constexpr msec control_period = 100_ms;
 constexpr msec gossip_period = 1000_ms;
 constexpr msec vm_list_period = 5000_ms;
 constexpr msec vm_list_timeout = 2000_ms;
 constexpr msec settled_after = 10'000_ms;
-constexpr msec release_timeout = 3000_ms;
 
 std::uint16_t port_of(const std::string& address)
 {
@@ -141,6 +139,7 @@
               .config = config_,
               .orders = orders_,
               .counts = counters_,
+              .sync = sync_,
               .status =
                   [this]
               {
@@ -222,16 +221,10 @@
 
 void node::start_timers()
 {
-    loop_.call_every(fast_period, [this] { run_fast_tick(); });
     loop_.call_every(control_period, [this] { run_control_tick(); });
     loop_.call_every(gossip_period, [this] { run_gossip_tick(); });
     loop_.call_every(vm_list_period, [this] { read_vm_list(); });
-    loop_.post(
-        [this]
-        {
-            read_vm_list();
-            run_gossip_tick();
-        });
+    loop_.post([this] { run_gossip_tick(); });
 }
 
 void node::run()
@@ -243,15 +236,10 @@
     spdlog::info("node {} stopped", settings_.node);
 }
 
-void node::run_fast_tick()
-{
-    desk_.tick();
-    ledger_.tick();
-}
-
 void node::run_control_tick()
 {
     const auto now = clock_.now();
+    run_fast_tick();
     lease_.tick();
     claims_.tick();
     sync_.set_known_peers(members_.known_peers());
@@ -278,7 +266,7 @@
 void node::run_gossip_tick()
 {
     const auto now = clock_.now();
-    const auto window = settings_.view_max_age;
+    const auto window = freshness_.heard_window(now);
     const auto resets = freshness_.resets();
     freshness_.tick(now,
                     {.known_peers = members_.known_peers(),
@@ -290,12 +278,13 @@
         control_counts_.increment(0);
         sync_.read_soon();
     }
-    std::vector<known_node> nodes;
-    for (const auto* it : members_.live_members(now))
-        nodes.push_back({.node = it->node, .zone = it->zone});
-    nodes.push_back(
-        {.node = settings_.node, .zone = settings_.zone, .leaving = stopping_});
-    claims_.set_nodes(nodes);
+    if (members_.superseded_by() && !stopping_)
+    {
+        spdlog::error("a newer process runs as this node; stopping");
+        begin_stop();
+        return;
+    }
+    update_candidates();
     for (const auto& it : members_.tick(now))
     {
         wire::peer_message message;
@@ -304,8 +293,27 @@
     }
 }
 
+void node::update_candidates()
+{
+    std::vector<known_node> nodes;
+    for (const auto* it : members_.live_members(clock_.now()))
+        nodes.push_back({.node = it->node,
+                         .zone = it->zone,
+                         .incarnation = it->incarnation});
+    nodes.push_back(
+        {.node = settings_.node, .zone = settings_.zone, .leaving = stopping_});
+    claims_.set_nodes(nodes);
+}
+
 void node::read_vm_list()
 {
+    // Only owners act on the list. Read by all nodes it grows with the square
+    // of the fleet. An old list may not tell who is gone after a new claim.
+    if (claims_.owned().empty())
+    {
+        vm_list_read_ = false;
+        return;
+    }
     vms_.list(vm_list_timeout,
               [this](const absl::StatusOr<std::vector<vm_entry>>& list)
               {
@@ -338,6 +346,7 @@
         on_gossip(message);
         return;
     }
+    wake_fast_tick();
     config_.on_message(message, is_settled());
     monitor_.on_message(message);
     desk_.on_message(message);
@@ -365,7 +374,9 @@
         note_incarnation(known->node, known->incarnation);
         monitor_.on_node_heard(known->node, known->incarnation);
     }
-    if (const auto proven = members_.proven_time(body))
+    // A peer's read vouches only for the documents that the peer holds.
+    if (const auto proven = members_.proven_time(body);
+        proven && body.config_digest() == registry_.digest())
         freshness_.note_peer_age(*proven, body.store_read_age_ms());
     for (const auto& it : body.strikes())
         strikes_.add({.fingerprint = it.fingerprint(),
@@ -377,6 +388,8 @@
     config_.on_peer_config(message.from(), body.config_head(),
                            body.config_digest());
     const auto* sender = members_.find(message.from());
+    if (sender != nullptr && sender->leaving)
+        update_candidates();
     if (reply && sender != nullptr)
     {
         wire::peer_message answer;
@@ -424,6 +437,7 @@
     for (const auto& it : registry_.services())
         for (auto& shard : it->shards())
             shards.push_back(std::move(shard));
+    update_candidates();
     claims_.set_shards(shards);
     desk_.on_services_changed();
 }
@@ -435,6 +449,8 @@
     members_.note_shard_owner(
         {.shard = shard.shard, .node = settings_.node, .epoch = shard.epoch});
     desk_.on_shard_gained(shard);
+    if (!vm_list_read_)
+        read_vm_list();
 }
 
 void node::on_shard_lost(const std::string& shard, std::int64_t epoch)
@@ -456,37 +472,4 @@
     return freshness_.fresh_for(settled_after, clock_.now());
 }
 
-void node::request_stop()
-{
-    loop_.post([this] { begin_stop(); });
-}
-
-void node::begin_stop()
-{
-    if (std::exchange(stopping_, true))
-        return;
-    spdlog::info("stopping: {} requests in progress", sessions());
-    stop_began_ = clock_.now();
-    members_.announce_leaving();
-    lease_.announce_leaving();
-    run_gossip_tick();
-    claims_.release_all(release_timeout, [] {});
-}
-
-std::size_t node::sessions() const
-{
-    return completions_.size() + plains_.size();
-}
-
-void node::check_stopped()
-{
-    const bool drained = stopping_ && sessions() == 0 &&
-                         clock_.now() - stop_began_ > settings_.drain;
-    if (!drained || std::exchange(released_, true))
-        return;
-    lease_.release([this] { loop_.stop(); });
-    // The store may be away; the lease then lapses by itself.
-    loop_.call_after(release_timeout, [this] { loop_.stop(); });
-}
-
 } // namespace galenapulley
--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -21,8 +21,7 @@
 /// Refusals that another shard of the service would repeat.
 bool is_final(error_kind kind)
 {
-    return kind == error_kind::customer_limit ||
-           kind == error_kind::request_quarantined ||
+    return kind == error_kind::request_quarantined ||
            kind == error_kind::bad_request;
 }
 
@@ -115,7 +114,7 @@
                                            random_);
     if (!shard)
     {
-        if (!wait_for_owner(it))
+        if (!ask_again_later(it))
             give_up(request);
         return;
     }
@@ -155,33 +154,42 @@
     send_to(it.owner, message);
 }
 
-// While a shard changes its owner, the request waits here. It was refused by
-// nobody, so it would be lost to a planned stop of the owner otherwise.
-bool permit_desk::wait_for_owner(waiting_request& it)
+bool permit_desk::ask_again_later(waiting_request& it)
 {
     const auto now = parts_.time.now();
-    if (!it.refusal.ok() || now >= it.asked_at + options_.owner_wait ||
-        !picker_for(it.target).has_open_zone())
+    const auto kind =
+        it.refusal.ok() ? error_kind::no_back_end : kind_of(it.refusal);
+    const auto current = parts_.registry.current_fleet();
+    const auto& back_ends = it.target->back_ends;
+    const bool can_recover =
+        (kind == error_kind::no_back_end || kind == error_kind::isolated) &&
+        std::any_of(back_ends.begin(), back_ends.end(),
+                    [&](const back_end& target)
+                    { return current->admits(target); });
+    if (!can_recover || now - it.asked_at >= options_.owner_wait)
         return false;
+    it.ask_again_at = now + options_.owner_retry_interval;
     it.tried.clear();
     it.shard.clear();
     it.owner.clear();
-    it.retry_at = now + options_.owner_retry;
+    it.refusal = absl::OkStatus();
     return true;
 }
 
-void permit_desk::retry_parked()
+void permit_desk::ask_again(msec now)
 {
-    const auto now = parts_.time.now();
     std::vector<std::uint64_t> due;
-    for (auto& [request, it] : waiting_)
-        if (it.retry_at != 0 && now >= it.retry_at)
-        {
-            it.retry_at = 0;
+    for (const auto& [request, it] : waiting_)
+        if (it.ask_again_at && now >= *it.ask_again_at)
             due.push_back(request);
-        }
     for (const auto request : due)
+    {
+        const auto found = waiting_.find(request);
+        if (found == waiting_.end())
+            continue;
+        found->second.ask_again_at.reset();
         try_next(request);
+    }
 }
 
 void permit_desk::give_up(std::uint64_t request)
@@ -279,11 +287,13 @@
     std::vector<std::uint64_t> silent;
     for (const auto& [request, it] : waiting_)
     {
+        if (it.ask_again_at)
+            continue;
         const auto limit =
             it.queued ? options_.queue_silence : options_.reply_timeout;
         const bool is_local =
             schedulers_.count(it.shard) != 0 && parts_.freshness.is_fresh(now);
-        if (it.retry_at == 0 && !is_local && now - it.heard_at > limit)
+        if (!is_local && now - it.heard_at > limit)
             silent.push_back(request);
     }
     for (const auto request : silent)
@@ -362,10 +372,17 @@
     for (const auto& it : schedulers_)
         tick_scheduler(*it.second);
     check_silence();
-    retry_parked();
+    ask_again(parts_.time.now());
     send_keep_alives();
 }
 
+bool permit_desk::has_waiting() const
+{
+    return !waiting_.empty() ||
+           std::any_of(schedulers_.begin(), schedulers_.end(),
+                       [](const auto& it) { return it.second->queued() > 0; });
+}
+
 void permit_desk::on_owner_changed(const std::string& shard)
 {
     const auto picker = pickers_.find(service_of_shard(shard));
--- a/src/node/segment_run.hpp
+++ b/src/node/segment_run.hpp
@@ -48,7 +48,8 @@
     using done_callback = std::function<void(absl::Status, failure)>;
 
     segment_run(const session_parts& parts, std::string id,
-                std::vector<prompt_segment> segments, msec deadline);
+                std::vector<prompt_segment> segments, std::size_t priority,
+                msec deadline);
 
     void start(done_callback done);
     /// Gives all memory back; the run ends without a further callback.
@@ -70,6 +71,8 @@
     const session_parts& parts_;
     std::string id_;
     std::vector<prompt_segment> segments_;
+    /// Sent to the engines; 0 is the highest.
+    std::size_t priority_;
     msec deadline_;
     done_callback done_;
     std::size_t reserved_ = 0;
