permit_desk: ask again for requests queued at the former owner

Cause: a node that claims a shard took its own requests in the former owner's queue for local ones. Its scheduler didn't know them and the check for silent owners left them out, so they waited until their deadline. Ruled out: limits of the new owner (18 free slots, nothing queued or running while 11 requests of that node waited). Change: a request counts as local only if this node was asked as the owner. Before: cold_back_end_test restarted_cold_and_owner_killed took 40.5 s, the last requests ended 28 s after the engines were idle. After: 12.8 s, passed.

--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -291,8 +291,11 @@
             continue;
         const auto limit =
             it.queued ? options_.queue_silence : options_.reply_timeout;
-        const bool is_local =
-            schedulers_.count(it.shard) != 0 && parts_.freshness.is_fresh(now);
+        // A request that waits at the former owner of a shard which this node
+        // has claimed since is unknown to the own scheduler.
+        const bool is_local = it.owner == options_.node &&
+                              schedulers_.count(it.shard) != 0 &&
+                              parts_.freshness.is_fresh(now);
         if (!is_local && now - it.heard_at > limit)
             silent.push_back(request);
     }
