--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_desk.cpp
@@ -21,8 +21,7 @@
 /// Refusals that another shard of the service would repeat.
 bool is_final(error_kind kind)
 {
-    return kind == error_kind::customer_limit ||
-           kind == error_kind::request_quarantined ||
+    return kind == error_kind::request_quarantined ||
            kind == error_kind::bad_request;
 }
 
@@ -93,7 +92,8 @@
     query.key = key_of(request);
     waiting_.emplace(request, waiting_request{.target = target,
                                               .query = std::move(query),
-                                              .done = std::move(done)});
+                                              .done = std::move(done),
+                                              .asked_at = parts_.time.now()});
     try_next(request);
     return request;
 }
@@ -114,7 +114,8 @@
                                            random_);
     if (!shard)
     {
-        give_up(request);
+        if (!ask_again_later(it))
+            give_up(request);
         return;
     }
     it.shard = *shard;
@@ -153,6 +154,44 @@
     send_to(it.owner, message);
 }
 
+bool permit_desk::ask_again_later(waiting_request& it)
+{
+    const auto now = parts_.time.now();
+    const auto kind =
+        it.refusal.ok() ? error_kind::no_back_end : kind_of(it.refusal);
+    const auto current = parts_.registry.current_fleet();
+    const auto& back_ends = it.target->back_ends;
+    const bool can_recover =
+        (kind == error_kind::no_back_end || kind == error_kind::isolated) &&
+        std::any_of(back_ends.begin(), back_ends.end(),
+                    [&](const back_end& target)
+                    { return current->admits(target); });
+    if (!can_recover || now - it.asked_at >= options_.owner_wait)
+        return false;
+    it.ask_again_at = now + options_.owner_retry_interval;
+    it.tried.clear();
+    it.shard.clear();
+    it.owner.clear();
+    it.refusal = absl::OkStatus();
+    return true;
+}
+
+void permit_desk::ask_again(msec now)
+{
+    std::vector<std::uint64_t> due;
+    for (const auto& [request, it] : waiting_)
+        if (it.ask_again_at && now >= *it.ask_again_at)
+            due.push_back(request);
+    for (const auto request : due)
+    {
+        const auto found = waiting_.find(request);
+        if (found == waiting_.end())
+            continue;
+        found->second.ask_again_at.reset();
+        try_next(request);
+    }
+}
+
 void permit_desk::give_up(std::uint64_t request)
 {
     auto entry = waiting_.extract(request);
@@ -186,8 +225,10 @@
     const auto found = waiting_.find(request);
     if (found == waiting_.end() || found->second.shard != shard)
         return;
-    found->second.refusal =
-        make_error(kind, "refused by the owner of shard " + shard);
+    // The node asked does not own the shard any more: no verdict.
+    if (kind != error_kind::node_leaving)
+        found->second.refusal =
+            make_error(kind, "refused by the owner of shard " + shard);
     if (is_final(kind))
         give_up(request);
     else
@@ -246,6 +287,8 @@
     std::vector<std::uint64_t> silent;
     for (const auto& [request, it] : waiting_)
     {
+        if (it.ask_again_at)
+            continue;
         const auto limit =
             it.queued ? options_.queue_silence : options_.reply_timeout;
         const bool is_local =
@@ -329,9 +372,17 @@
     for (const auto& it : schedulers_)
         tick_scheduler(*it.second);
     check_silence();
+    ask_again(parts_.time.now());
     send_keep_alives();
 }
 
+bool permit_desk::has_waiting() const
+{
+    return !waiting_.empty() ||
+           std::any_of(schedulers_.begin(), schedulers_.end(),
+                       [](const auto& it) { return it.second->queued() > 0; });
+}
+
 void permit_desk::on_owner_changed(const std::string& shard)
 {
     const auto picker = pickers_.find(service_of_shard(shard));
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -25,10 +25,14 @@
 constexpr msec install_timeout = 30'000_ms;
 constexpr msec poll_interval = 25_ms;
 
-std::string program(const char* variable, const char* fallback)
+/// Path of a program from the environment, or beside the running test.
+std::string program(const char* variable, const char* beside)
 {
     const char* path = std::getenv(variable);
-    return path != nullptr ? path : fallback;
+    if (path != nullptr)
+        return path;
+    const auto self = std::filesystem::read_symlink("/proc/self/exe");
+    return (self.parent_path() / beside).string();
 }
 
 std::string make_directory()
@@ -84,7 +88,7 @@
     for (const auto& it : plains_)
         wait_listening(it->address(), "/stats");
 
-    const auto binary = program("GALENAPULLEY_BINARY", "galenapulley");
+    const auto binary = program("GALENAPULLEY_BINARY", "../galenapulley");
     const auto count = options_.zones * options_.nodes_per_zone;
     for (std::size_t n = 0; n < count; ++n)
         nodes_.push_back(std::make_unique<child_process>(
@@ -269,6 +273,21 @@
 
 void process_fleet::install()
 {
+    // A node that knew no other one would claim the shards of all zones.
+    const auto is_connected = [this]
+    {
+        for (std::size_t n = 0; n < nodes_.size(); ++n)
+        {
+            const auto now = status(n);
+            if (!now.value("lease_held", false) || !now.value("fresh", false) ||
+                now["nodes"].size() + 1 < nodes_.size())
+                return false;
+        }
+        return true;
+    };
+    if (!wait_until(is_connected, install_timeout))
+        throw std::runtime_error("the nodes did not connect; logs are in " +
+                                 directory_);
     const auto put = [this](const std::string& name, const json& document)
     {
         const bool done = wait_until(
