--- a/tests/fault/bad_input_test.cpp
+++ b/tests/fault/bad_input_test.cpp
@@ -104,7 +104,7 @@
 BOOST_AUTO_TEST_CASE(completions_are_checked)
 {
     const std::string deep(100'000, '[');
-    for (const std::string body :
+    for (const std::string& body :
          {std::string(), std::string("{"), std::string("[]"),
           std::string("\"x\""), completion().dump().substr(0, 20), deep,
           std::string("{\"prompt\":\"\xff\"}")})
@@ -234,7 +234,7 @@
         bp::ipstream err;
         bp::child child(std::getenv("GALENAPULLEY_BINARY"), "node", "--config",
                         path.string(), bp::std_err > err);
-        const std::string message(std::istreambuf_iterator<char>(err), {});
+        std::string message(std::istreambuf_iterator<char>(err), {});
         child.wait();
         BOOST_TEST(child.exit_code() == 2);
         return message;
--- a/tests/fault/ctl_verbs_test.cpp
+++ b/tests/fault/ctl_verbs_test.cpp
@@ -59,7 +59,7 @@
 
     std::string write(const std::string& name, const std::string& text) const
     {
-        const auto path = (directory / name).string();
+        auto path = (directory / name).string();
         std::ofstream(path) << text;
         return path;
     }
