--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -22,7 +22,7 @@
 constexpr msec control_period = 100_ms;
 constexpr msec gossip_period = 1000_ms;
 constexpr msec vm_list_period = 5000_ms;
-constexpr msec vm_list_timeout = 2000_ms;
+constexpr msec seed_period = 5000_ms;
 constexpr msec settled_after = 10'000_ms;
 
 std::uint16_t port_of(const std::string& address)
@@ -124,6 +124,8 @@
     , monitor_({.node = settings_.node,
                 .incarnation = incarnation_,
                 .poll_period = settings_.engine_poll,
+                // The sweeper needs several reads within one TTL.
+                .sweep_period = std::min<msec>(2000, settings_.lease_ttl / 2),
                 .lease_ttl = settings_.lease_ttl},
                {.loop = loop_,
                 .engines = engine_client_,
@@ -225,6 +227,7 @@
     loop_.call_every(control_period, [this] { run_control_tick(); });
     loop_.call_every(gossip_period, [this] { run_gossip_tick(); });
     loop_.call_every(vm_list_period, [this] { read_vm_list(); });
+    loop_.call_every(seed_period, [this] { read_seeds(); });
     loop_.post([this] { run_gossip_tick(); });
 }
 
@@ -306,37 +309,6 @@
     claims_.set_nodes(nodes);
 }
 
-void node::read_vm_list()
-{
-    // Only owners act on the list. Read by all nodes it grows with the square
-    // of the fleet. An old list may not tell who is gone after a new claim.
-    if (claims_.owned().empty())
-    {
-        vm_list_read_ = false;
-        return;
-    }
-    vms_.list(vm_list_timeout,
-              [this](const absl::StatusOr<std::vector<vm_entry>>& list)
-              {
-                  if (!list.ok())
-                      return;
-                  vm_list_read_ = true;
-                  vm_machines_.clear();
-                  std::set<std::string> leaving;
-                  for (const auto& it : *list)
-                  {
-                      vm_machines_.insert(it.machine);
-                      if (it.leaving)
-                          leaving.insert(it.machine);
-                  }
-                  if (leaving != leaving_machines_)
-                  {
-                      leaving_machines_ = std::move(leaving);
-                      desk_.on_fleet_changed(leaving_machines_);
-                  }
-              });
-}
-
 void node::on_peer_message(const wire::peer_message& message)
 {
     control_counts_.increment(1);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -82,6 +82,7 @@
     void run_gossip_tick();
     void update_candidates();
     void read_vm_list();
+    void read_seeds();
 
     // Peer messages.
     void on_peer_message(const wire::peer_message& message);
