--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -1,8 +1,8 @@
-// Time of routing decisions by number of back ends: picker, scheduler request
+// Time of routing decisions by number of back ends: selector, scheduler request
 // and release, and scheduler ticks with queued requests.
 #include "galenapulley/load_report.hpp"
-#include "galenapulley/shard_picker.hpp"
 #include "galenapulley/shard_scheduler.hpp"
+#include "galenapulley/shard_selector.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -69,7 +69,7 @@
 public:
     explicit bench(std::size_t back_ends) : document_(make_service(back_ends))
     {
-        picker_.set_service(document_);
+        selector_.set_service(document_);
         for (const auto& id : document_.shards())
         {
             auto& owner =
@@ -123,11 +123,12 @@
 
     void publish(const shard_scheduler& owner)
     {
-        picker_.on_capacity({.shard = owner.shard(),
-                             .epoch = owner.epoch(),
-                             .free_slots_by_class = owner.free_slots_by_class(),
-                             .queued = 0},
-                            time_.now());
+        selector_.on_capacity(
+            {.shard = owner.shard(),
+             .epoch = owner.epoch(),
+             .free_slots_by_class = owner.free_slots_by_class(),
+             .queued = 0},
+            time_.now());
     }
 
     /// One decision: pick a shard, ask its owner, release an older permit.
@@ -143,12 +144,12 @@
                 time_.advance(1);
             const auto start = bench_clock::now();
             const auto shard =
-                picker_.pick(query.length_class, {}, time_.now(), random_);
+                selector_.pick(query.length_class, {}, time_.now(), random_);
             auto& owner = owners_.at(*shard);
             const auto decision = owner.request(query);
-            picker_.on_free_slots(*shard, query.length_class,
-                                  owner.free_slots(query.length_class),
-                                  time_.now());
+            selector_.on_free_slots(*shard, query.length_class,
+                                    owner.free_slots(query.length_class),
+                                    time_.now());
             if (granted_.size() >= target)
                 release_oldest();
             samples.push_back(ns_since(start));
@@ -223,7 +224,7 @@
     manual_clock time_{1'000'000};
     shard_scheduler::generator random_{42};
     service document_;
-    shard_picker picker_{"zone0"};
+    shard_selector selector_{"zone0"};
     std::map<std::string, shard_scheduler> owners_;
     std::deque<running> granted_;
     std::uint64_t last_ = 0;
--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -26,7 +26,7 @@
 /// Entries of nodes that just joined are sent in full until every node passed
 /// them on several times, about 260 s with 350 nodes that start together.
 constexpr std::size_t steady_after_rounds = 300;
-/// Nodes that receive a document directly, config_desk's max_direct_pushes.
+/// Nodes that receive a document directly, config_manager's max_direct_pushes.
 constexpr std::size_t direct_pushes = 32;
 
 struct costs
--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -23,7 +23,7 @@
 namespace galenapulley
 {
 
-class strike_book;
+class strike_registry;
 
 /// Queued requests of one node process, for keep-alives.
 struct queued_requests
@@ -57,7 +57,7 @@
     void set_allowance(std::uint32_t lapsed_owners, bool lease_held);
     /// Strikes to check fingerprints against; nullptr for none. The book has to
     /// outlive the scheduler.
-    void set_strikes(const strike_book* strikes) { strikes_ = strikes; }
+    void set_strikes(const strike_registry* strikes) { strikes_ = strikes; }
 
     /// Forgets all permits and grants nothing for `register_time`.
     void start_epoch(std::int64_t epoch);
@@ -226,7 +226,7 @@
     std::string shard_;
     const clock& clock_;
     generator& random_;
-    const strike_book* strikes_ = nullptr;
+    const strike_registry* strikes_ = nullptr;
     service service_;
     fleet fleet_;
     std::set<std::string> leaving_;
--- a/src/galenapulley/shard_scheduler_admission.cpp
+++ b/src/galenapulley/shard_scheduler_admission.cpp
@@ -1,7 +1,7 @@
 // Admission and queueing of shard_scheduler.
 #include "galenapulley/shard_scheduler.hpp"
 
-#include "galenapulley/strike_book.hpp"
+#include "galenapulley/strike_registry.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/galenapulley/shard_picker.cpp
+++ b/src/galenapulley/shard_selector.cpp
@@ -1,4 +1,4 @@
-#include "galenapulley/shard_picker.hpp"
+#include "galenapulley/shard_selector.hpp"
 
 #include "galenapulley/fleet.hpp"
 #include "galenapulley/service.hpp"
@@ -20,12 +20,12 @@
 
 } // namespace
 
-shard_picker::shard_picker(std::string own_zone)
+shard_selector::shard_selector(std::string own_zone)
     : own_zone_(std::move(own_zone))
 {
 }
 
-void shard_picker::set_service(const service& document)
+void shard_selector::set_service(const service& document)
 {
     std::vector<shard_view> views;
     for (const auto& id : document.shards())
@@ -43,20 +43,20 @@
     views_ = std::move(views);
 }
 
-void shard_picker::set_fleet(const fleet& document)
+void shard_selector::set_fleet(const fleet& document)
 {
     withdrawn_zones_ = document.withdrawn_zones;
     for (auto& it : views_)
         it.withdrawn = withdrawn_zones_.count(it.zone) > 0;
 }
 
-void shard_picker::set_owner_known(const std::string& shard, bool known)
+void shard_selector::set_owner_known(const std::string& shard, bool known)
 {
     if (auto* it = find(shard))
         it->owner_known = known;
 }
 
-void shard_picker::on_capacity(const shard_capacity& digest, msec now)
+void shard_selector::on_capacity(const shard_capacity& digest, msec now)
 {
     auto* it = find(digest.shard);
     if (it == nullptr || digest.epoch < it->epoch)
@@ -69,9 +69,9 @@
     it->silent_until = 0;
 }
 
-void shard_picker::on_free_slots(const std::string& shard,
-                                 std::size_t length_class,
-                                 std::uint32_t free_slots, msec now)
+void shard_selector::on_free_slots(const std::string& shard,
+                                   std::size_t length_class,
+                                   std::uint32_t free_slots, msec now)
 {
     auto* it = find(shard);
     if (it == nullptr)
@@ -84,16 +84,16 @@
     it->silent_until = 0;
 }
 
-void shard_picker::on_silence(const std::string& shard, msec now)
+void shard_selector::on_silence(const std::string& shard, msec now)
 {
     if (auto* it = find(shard))
         it->silent_until = now + silence_time;
 }
 
 std::optional<std::string>
-shard_picker::pick(std::size_t length_class,
-                   const std::vector<std::string>& tried, msec now,
-                   generator& random)
+shard_selector::pick(std::size_t length_class,
+                     const std::vector<std::string>& tried, msec now,
+                     generator& random)
 {
     auto best = tier::unusable;
     best_.clear();
@@ -126,7 +126,7 @@
     return chosen.shard;
 }
 
-shard_picker::shard_view* shard_picker::find(const std::string& shard)
+shard_selector::shard_view* shard_selector::find(const std::string& shard)
 {
     const auto it =
         std::find_if(views_.begin(), views_.end(),
@@ -134,8 +134,9 @@
     return it == views_.end() ? nullptr : &*it;
 }
 
-std::uint32_t shard_picker::free_slots(const shard_view& view,
-                                       std::size_t length_class, msec now) const
+std::uint32_t shard_selector::free_slots(const shard_view& view,
+                                         std::size_t length_class,
+                                         msec now) const
 {
     if (!view.heard || now - view.heard_at > digest_lifetime ||
         length_class >= view.free_slots.size())
@@ -143,9 +144,9 @@
     return view.free_slots[length_class];
 }
 
-shard_picker::tier shard_picker::tier_of(const shard_view& view,
-                                         std::size_t length_class,
-                                         msec now) const
+shard_selector::tier shard_selector::tier_of(const shard_view& view,
+                                             std::size_t length_class,
+                                             msec now) const
 {
     if (view.withdrawn || !view.owner_known)
         return tier::unusable;
@@ -156,8 +157,8 @@
     return view.zone == own_zone_ ? tier::own_zone_free : tier::other_zone_free;
 }
 
-bool shard_picker::is_better(const shard_view& a, const shard_view& b,
-                             std::size_t length_class, msec now) const
+bool shard_selector::is_better(const shard_view& a, const shard_view& b,
+                               std::size_t length_class, msec now) const
 {
     const auto free_a = free_slots(a, length_class, now);
     const auto free_b = free_slots(b, length_class, now);
--- a/src/galenapulley/shard_picker.hpp
+++ b/src/galenapulley/shard_selector.hpp
@@ -25,12 +25,12 @@
 };
 
 /// A node's choice among the shards of one service.
-class shard_picker
+class shard_selector
 {
 public:
     using generator = std::mt19937_64;
 
-    explicit shard_picker(std::string own_zone);
+    explicit shard_selector(std::string own_zone);
 
     /// Takes over the service's shards and keeps what is known of them.
     void set_service(const service& document);
--- a/src/galenapulley/strike_book.cpp
+++ b/src/galenapulley/strike_registry.cpp
@@ -1,4 +1,4 @@
-#include "galenapulley/strike_book.hpp"
+#include "galenapulley/strike_registry.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -12,7 +12,7 @@
 constexpr msec expiry_interval = 10_sec;
 /// The older of two crashes counts as long as the newer one is in force, also
 /// on nodes that hear of both late.
-constexpr msec strike_lifetime = 2 * strike_book::quarantine_time;
+constexpr msec strike_lifetime = 2 * strike_registry::quarantine_time;
 
 bool is_newer(const strike& a, const strike& b)
 {
@@ -21,12 +21,12 @@
 
 } // namespace
 
-strike_book::strike_book(std::size_t capacity)
+strike_registry::strike_registry(std::size_t capacity)
     : capacity_(std::max<std::size_t>(1, capacity))
 {
 }
 
-bool strike_book::add(const strike& item, msec now)
+bool strike_registry::add(const strike& item, msec now)
 {
     expire(now);
     auto added = item;
@@ -57,7 +57,7 @@
     return true;
 }
 
-bool strike_book::is_quarantined(std::uint64_t fingerprint, msec now) const
+bool strike_registry::is_quarantined(std::uint64_t fingerprint, msec now) const
 {
     const auto it = entries_.find(fingerprint);
     if (it == entries_.end() || it->second.count < 2)
@@ -67,7 +67,7 @@
            now < newest.at + quarantine_time;
 }
 
-std::vector<strike> strike_book::recent(std::size_t max, msec now) const
+std::vector<strike> strike_registry::recent(std::size_t max, msec now) const
 {
     std::vector<strike> strikes;
     for (const auto& [fingerprint, it] : entries_)
@@ -83,7 +83,7 @@
     return strikes;
 }
 
-void strike_book::expire(msec now)
+void strike_registry::expire(msec now)
 {
     if (now < next_expiry_)
         return;
@@ -92,7 +92,7 @@
                   { return it.second.crashes[0].at + strike_lifetime <= now; });
 }
 
-void strike_book::evict_oldest()
+void strike_registry::evict_oldest()
 {
     // Single strikes go first, so that many different fingerprints can't end
     // a quarantine.
--- a/src/galenapulley/strike_book.hpp
+++ b/src/galenapulley/strike_registry.hpp
@@ -20,12 +20,12 @@
 };
 
 /// Quarantine of requests that crash back ends.
-class strike_book
+class strike_registry
 {
 public:
     static constexpr msec quarantine_time = 600'000_ms;
 
-    explicit strike_book(std::size_t capacity = 4096);
+    explicit strike_registry(std::size_t capacity = 4096);
 
     /// Returns true if the crash was not known. The order in which strikes
     /// arrive does not matter.
--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -9,8 +9,8 @@
 #include "galenapulley/service.hpp"
 #include "galenapulley/service_document.hpp"
 #include "node/answers.hpp"
-#include "node/config_desk.hpp"
-#include "node/order_desk.hpp"
+#include "node/config_manager.hpp"
+#include "node/order_manager.hpp"
 #include "node/token_hash.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -13,11 +13,11 @@
 {
 
 class config_change;
-class config_desk;
+class config_manager;
 class config_registry;
 class config_sync;
 class counters;
-class order_desk;
+class order_manager;
 struct node_settings;
 
 /// Calls of operators and teams under /admin. Used on the control thread.
@@ -30,8 +30,8 @@
     {
         const node_settings& settings;
         config_registry& registry;
-        config_desk& config;
-        order_desk& orders;
+        config_manager& config;
+        order_manager& orders;
         counters& counts;
         const config_sync& sync;
         /// JSON text of this node's status.
--- a/src/node/completion_session.cpp
+++ b/src/node/completion_session.cpp
@@ -10,7 +10,7 @@
 #include "node/answers.hpp"
 #include "node/control_loop.hpp"
 #include "node/http_server.hpp"
-#include "node/permit_desk.hpp"
+#include "node/permit_manager.hpp"
 #include "node/segment_run.hpp"
 #include "node/session_parts.hpp"
 #include "node/stream_relay.hpp"
@@ -155,7 +155,7 @@
     query.excluded = excluded_;
     query.is_retry = attempts_ > 0;
     // The answer may come before ask() returns its number.
-    const auto number = parts_.desk.ask(
+    const auto number = parts_.permits.ask(
         service_, std::move(query),
         [weak = weak_from_this()](const absl::StatusOr<granted_permit>& permit)
         {
@@ -273,7 +273,7 @@
     const auto permit = std::exchange(permit_, 0);
     if (!std::exchange(has_permit_, false))
     {
-        parts_.desk.cancel(permit);
+        parts_.permits.cancel(permit);
         return;
     }
     permit_result result{.outcome = outcome};
@@ -285,7 +285,7 @@
         result.failed_back_end =
             excluded_.empty() ? std::string() : excluded_.back();
     parts_.counts.count(outcome);
-    parts_.desk.release(permit, result);
+    parts_.permits.release(permit, result);
 }
 
 void completion_session::succeed()
--- a/src/node/completion_session_attempt.cpp
+++ b/src/node/completion_session_attempt.cpp
@@ -7,7 +7,7 @@
 #include "galenapulley/service.hpp"
 #include "node/control_loop.hpp"
 #include "node/http_client.hpp"
-#include "node/permit_desk.hpp"
+#include "node/permit_manager.hpp"
 #include "node/segment_run.hpp"
 #include "node/session_parts.hpp"
 #include "node/stream_relay.hpp"
@@ -169,10 +169,10 @@
 void completion_session::record_strike()
 {
     const auto id = attempt_id_;
-    parts_.desk.send_strike(request_.service,
-                            {.fingerprint = fingerprint_,
-                             .crash_id = XXH3_64bits(id.data(), id.size()),
-                             .at = parts_.loop.now()});
+    parts_.permits.send_strike(request_.service,
+                               {.fingerprint = fingerprint_,
+                                .crash_id = XXH3_64bits(id.data(), id.size()),
+                                .at = parts_.loop.now()});
 }
 
 void completion_session::retry_elsewhere(permit_outcome outcome)
--- a/src/node/config_desk.cpp
+++ b/src/node/config_manager.cpp
@@ -1,4 +1,4 @@
-#include "node/config_desk.hpp"
+#include "node/config_manager.hpp"
 
 #include "galenapulley/config_change.hpp"
 #include "galenapulley/config_registry.hpp"
@@ -17,13 +17,13 @@
 namespace galenapulley
 {
 
-config_desk::config_desk(std::string zone, parts uses)
+config_manager::config_manager(std::string zone, parts uses)
     : zone_(std::move(zone)), parts_(uses)
 {
 }
 
-void config_desk::execute(const std::shared_ptr<const config_change>& change,
-                          const std::string& change_id, done_callback done)
+void config_manager::execute(const std::shared_ptr<const config_change>& change,
+                             const std::string& change_id, done_callback done)
 {
     parts_.writer.execute(
         change, change_id,
@@ -39,8 +39,8 @@
         });
 }
 
-void config_desk::on_committed(const absl::StatusOr<config_document>& result,
-                               const done_callback& done)
+void config_manager::on_committed(const absl::StatusOr<config_document>& result,
+                                  const done_callback& done)
 {
     if (!result.ok())
     {
@@ -62,7 +62,7 @@
     tick();
 }
 
-void config_desk::push(const pending_change& change)
+void config_manager::push(const pending_change& change)
 {
     wire::peer_message message;
     *message.mutable_config_push() = parts_.sync.make_push({change.document});
@@ -77,7 +77,7 @@
     }
 }
 
-bool config_desk::is_held_enough(const pending_change& change) const
+bool config_manager::is_held_enough(const pending_change& change) const
 {
     const auto live = parts_.members.live_members(parts_.time.now());
     const bool has_other_zone =
@@ -93,7 +93,7 @@
            (held_elsewhere || !has_other_zone);
 }
 
-void config_desk::tick()
+void config_manager::tick()
 {
     const auto now = parts_.time.now();
     std::vector<pending_change> finished;
@@ -129,22 +129,22 @@
     }
 }
 
-void config_desk::note_holder(const std::string& node, const std::string& name,
-                              std::int64_t version)
+void config_manager::note_holder(const std::string& node,
+                                 const std::string& name, std::int64_t version)
 {
     for (auto& it : pending_)
         if (it.document.name == name && version >= it.document.version)
             it.holders.insert(node);
 }
 
-void config_desk::send_to(const std::string& node,
-                          const wire::peer_message& message)
+void config_manager::send_to(const std::string& node,
+                             const wire::peer_message& message)
 {
     if (const auto* it = parts_.members.find(node))
         parts_.peers.send(it->peer_address, message);
 }
 
-void config_desk::on_message(const wire::peer_message& message, bool settled)
+void config_manager::on_message(const wire::peer_message& message, bool settled)
 {
     wire::peer_message answer;
     switch (message.body_case())
@@ -172,8 +172,8 @@
     }
 }
 
-void config_desk::on_peer_config(const std::string& from, std::int64_t head,
-                                 std::uint64_t digest)
+void config_manager::on_peer_config(const std::string& from, std::int64_t head,
+                                    std::uint64_t digest)
 {
     if (auto pull = parts_.sync.on_gossip(head, digest))
     {
--- a/src/node/config_desk.hpp
+++ b/src/node/config_manager.hpp
@@ -39,7 +39,7 @@
 };
 
 /// Carries out changes of configuration and exchanges documents with peers.
-class config_desk
+class config_manager
 {
 public:
     using done_callback = std::function<void(absl::StatusOr<change_outcome>)>;
@@ -55,7 +55,7 @@
         counters& counts;
     };
 
-    config_desk(std::string zone, parts uses);
+    config_manager(std::string zone, parts uses);
 
     void execute(const std::shared_ptr<const config_change>& change,
                  const std::string& change_id, done_callback done);
--- a/src/node/engine_monitor.cpp
+++ b/src/node/engine_monitor.cpp
@@ -11,7 +11,7 @@
 #include "node/control_loop.hpp"
 #include "node/held_reservations.hpp"
 #include "node/http_client.hpp"
-#include "node/permit_desk.hpp"
+#include "node/permit_manager.hpp"
 #include "peer.pb.h"
 
 #include <nlohmann/json.hpp>
@@ -141,7 +141,7 @@
     const auto it = engines_.find(name);
     if (it != engines_.end())
         it->second.polling = false;
-    auto* scheduler = parts_.desk.find_scheduler(shard);
+    auto* scheduler = parts_.permits.find_scheduler(shard);
     if (scheduler == nullptr)
         return;
     if (result.error != transfer_error::none)
--- a/src/node/engine_monitor.hpp
+++ b/src/node/engine_monitor.hpp
@@ -18,7 +18,7 @@
 class http_client;
 class membership;
 class peer_link;
-class permit_desk;
+class permit_manager;
 class shard_claims;
 class table_service;
 struct back_end;
@@ -51,7 +51,7 @@
         config_registry& registry;
         membership& members;
         shard_claims& claims;
-        permit_desk& desk;
+        permit_manager& permits;
         table_service& table;
         peer_link& peers;
         held_reservations& held;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -76,14 +76,14 @@
            {
                spdlog::warn("shard {}: lease lapsed, half allowance", shard);
                counters_.count(state_change::shard_lapsed);
-               desk_.on_allowance_changed(shard);
+               permits_.on_allowance_changed(shard);
            },
            .on_restored =
                [this](const owned_shard& it)
            {
                spdlog::info("shard {}: allowance restored", it.shard);
                counters_.count(state_change::shard_restored);
-               desk_.on_allowance_changed(it.shard);
+               permits_.on_allowance_changed(it.shard);
            }},
           [this](const std::string& machine)
           { return vm_list_read_ && vm_machines_.count(machine) == 0; })
@@ -93,17 +93,17 @@
               .incarnation = incarnation_},
              [this](const wire::peer_message& message)
              { on_peer_message(message); })
-    , desk_({.node = settings_.node,
-             .incarnation = incarnation_,
-             .zone = settings_.zone,
-             .seed = static_cast<std::uint64_t>(incarnation_) + 2},
-            {.time = clock_,
-             .registry = registry_,
-             .members = members_,
-             .claims = claims_,
-             .freshness = freshness_,
-             .strikes = strikes_,
-             .peers = peers_})
+    , permits_({.node = settings_.node,
+                .incarnation = incarnation_,
+                .zone = settings_.zone,
+                .seed = static_cast<std::uint64_t>(incarnation_) + 2},
+               {.time = clock_,
+                .registry = registry_,
+                .members = members_,
+                .claims = claims_,
+                .freshness = freshness_,
+                .strikes = strikes_,
+                .peers = peers_})
     , ledger_(clock_, table_,
               {.node = settings_.node, .incarnation = incarnation_},
               [this](const std::string& id, std::int64_t incarnation)
@@ -132,7 +132,7 @@
                 .registry = registry_,
                 .members = members_,
                 .claims = claims_,
-                .desk = desk_,
+                .permits = permits_,
                 .table = table_,
                 .peers = peers_,
                 .held = held_})
@@ -153,7 +153,7 @@
              .time = clock_,
              .loop = loop_,
              .engines = engine_client_,
-             .desk = desk_,
+             .permits = permits_,
              .registry = registry_,
              .freshness = freshness_,
              .counts = counters_,
@@ -166,7 +166,7 @@
              {
                  return must_drop_segments();
              }}
-    , front_(loop_, counters_, *this)
+    , requests_(loop_, counters_, *this)
 {
     connect_modules();
     start_timers();
@@ -219,7 +219,7 @@
                             .workers = static_cast<int>(settings_.workers)},
         [this](http_request request,
                const std::shared_ptr<http_exchange>& exchange)
-        { front_.handle(std::move(request), exchange); });
+        { requests_.handle(std::move(request), exchange); });
 }
 
 void node::start_timers()
@@ -322,7 +322,7 @@
     wake_fast_tick();
     config_.on_message(message, is_settled());
     monitor_.on_message(message);
-    desk_.on_message(message);
+    permits_.on_message(message);
 }
 
 void node::on_gossip(const wire::peer_message& message)
@@ -356,10 +356,10 @@
             {.fingerprint = it.fingerprint(),
              .crash_id = it.crash_id(),
              .at = now - std::clamp<msec>(it.age_ms(), 0,
-                                          strike_book::quarantine_time)},
+                                          strike_registry::quarantine_time)},
             now);
     for (const auto& shard : changed)
-        desk_.on_owner_changed(shard);
+        permits_.on_owner_changed(shard);
     config_.on_peer_config(message.from(), body.config_head(),
                            body.config_digest());
     const auto* sender = members_.find(message.from());
@@ -395,7 +395,7 @@
     if (incarnation <= known)
         return;
     if (known != 0)
-        desk_.on_node_restarted(peer, incarnation);
+        permits_.on_node_restarted(peer, incarnation);
     known = incarnation;
 }
 
@@ -405,7 +405,7 @@
     counters_.count(state_change::config_applied);
     if (document.name == fleet_row)
     {
-        desk_.on_fleet_changed(leaving_machines_);
+        permits_.on_fleet_changed(leaving_machines_);
         return;
     }
     std::vector<std::string> shards;
@@ -414,7 +414,7 @@
             shards.push_back(std::move(shard));
     update_candidates();
     claims_.set_shards(shards);
-    desk_.on_services_changed();
+    permits_.on_services_changed();
 }
 
 void node::on_shard_gained(const owned_shard& shard)
@@ -423,7 +423,7 @@
     counters_.count(state_change::shard_gained);
     members_.note_shard_owner(
         {.shard = shard.shard, .node = settings_.node, .epoch = shard.epoch});
-    desk_.on_shard_gained(shard);
+    permits_.on_shard_gained(shard);
     if (!vm_list_read_)
         read_vm_list();
 }
@@ -432,7 +432,7 @@
 {
     spdlog::info("shard {}: lost, epoch {}", shard, epoch);
     counters_.count(state_change::shard_lost);
-    desk_.on_shard_lost(shard);
+    permits_.on_shard_lost(shard);
 }
 
 bool node::must_drop_segments() const
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -11,20 +11,20 @@
 #include "galenapulley/node_settings.hpp"
 #include "galenapulley/retry_budget.hpp"
 #include "galenapulley/shard_claims.hpp"
-#include "galenapulley/strike_book.hpp"
+#include "galenapulley/strike_registry.hpp"
 #include "galenapulley/view_freshness.hpp"
 #include "node/admin_api.hpp"
-#include "node/config_desk.hpp"
+#include "node/config_manager.hpp"
 #include "node/control_loop.hpp"
 #include "node/engine_monitor.hpp"
 #include "node/held_reservations.hpp"
 #include "node/http_client.hpp"
 #include "node/http_server.hpp"
 #include "node/http_table_service.hpp"
-#include "node/order_desk.hpp"
+#include "node/order_manager.hpp"
 #include "node/peer_socket.hpp"
-#include "node/permit_desk.hpp"
-#include "node/request_front.hpp"
+#include "node/permit_manager.hpp"
+#include "node/request_handler.hpp"
 #include "node/session_parts.hpp"
 #include "node/vm_list_client.hpp"
 
@@ -126,7 +126,7 @@
     config_writer writer_;
     membership members_;
     view_freshness freshness_;
-    strike_book strikes_;
+    strike_registry strikes_;
     retry_budget retries_;
     held_reservations held_;
     std::set<std::string> vm_machines_;
@@ -136,14 +136,14 @@
     node_lease lease_;
     shard_claims claims_;
     peer_socket peers_;
-    permit_desk desk_;
+    permit_manager permits_;
     action_ledger ledger_;
-    config_desk config_;
+    config_manager config_;
     engine_monitor monitor_;
-    order_desk orders_;
+    order_manager orders_;
     admin_api admin_;
     session_parts parts_;
-    request_front front_;
+    request_handler requests_;
     std::unique_ptr<http_server> server_;
 
     std::uint64_t last_session_ = 0;
--- a/src/node/node_platform.cpp
+++ b/src/node/node_platform.cpp
@@ -60,7 +60,7 @@
                   if (leaving != leaving_machines_)
                   {
                       leaving_machines_ = std::move(leaving);
-                      desk_.on_fleet_changed(leaving_machines_);
+                      permits_.on_fleet_changed(leaving_machines_);
                   }
               });
 }
--- a/src/node/node_requests.cpp
+++ b/src/node/node_requests.cpp
@@ -32,7 +32,7 @@
 
 void node::run_fast_tick()
 {
-    desk_.tick();
+    permits_.tick();
     ledger_.tick();
     if (needs_fast_tick())
         wake_fast_tick();
@@ -49,7 +49,7 @@
 
 bool node::needs_fast_tick() const
 {
-    return sessions() > 0 || desk_.has_waiting() || ledger_.next_due();
+    return sessions() > 0 || permits_.has_waiting() || ledger_.next_due();
 }
 
 bool node::refuse_if_unable(const std::shared_ptr<http_exchange>& exchange)
@@ -143,7 +143,7 @@
     json back_ends = json::array();
     for (const auto& it : claims_.owned())
     {
-        const auto* scheduler = desk_.find_scheduler(it.shard);
+        const auto* scheduler = permits_.find_scheduler(it.shard);
         json entry{{"shard", it.shard},
                    {"epoch", it.epoch},
                    {"lapsed_owners", it.lapsed_owners},
@@ -219,7 +219,7 @@
     return counters_.expose() + latency_.expose() +
            gauge("requests", "Requests in progress.", sessions()) +
            gauge("permits_waiting", "Permit requests waiting.",
-                 desk_.waiting()) +
+                 permits_.waiting()) +
            gauge("reservations_held", "KV reservations held.", held_.size()) +
            gauge("reservations_swept", "Abandoned reservations released.",
                  monitor_.swept()) +
--- a/src/node/order_desk.cpp
+++ b/src/node/order_manager.cpp
@@ -1,4 +1,4 @@
-#include "node/order_desk.hpp"
+#include "node/order_manager.hpp"
 
 #include "galenapulley/back_end.hpp"
 #include "galenapulley/error_kind.hpp"
@@ -15,7 +15,7 @@
 
 using nlohmann::json;
 
-struct order_desk::pending_order
+struct order_manager::pending_order
 {
     back_end target;
     engine_order order;
@@ -42,14 +42,14 @@
 
 } // namespace
 
-order_desk::order_desk(control_loop& loop, http_client& engines,
-                       table_service& table)
+order_manager::order_manager(control_loop& loop, http_client& engines,
+                             table_service& table)
     : loop_(loop), engines_(engines), table_(table)
 {
 }
 
-void order_desk::give(const back_end& target, const engine_order& order,
-                      done_callback done)
+void order_manager::give(const back_end& target, const engine_order& order,
+                         done_callback done)
 {
     auto it = std::make_shared<pending_order>();
     it->target = target;
@@ -66,7 +66,7 @@
                 });
 }
 
-void order_desk::record(const order_ptr& it, const table_row& row)
+void order_manager::record(const order_ptr& it, const table_row& row)
 {
     // The nonce tells this order from an equal one when the answer is lost.
     auto value = order_body(it->order);
@@ -95,7 +95,7 @@
                   });
 }
 
-void order_desk::read_back(const order_ptr& it)
+void order_manager::read_back(const order_ptr& it)
 {
     table_.read(it->key, call_timeout,
                 [this, it](const absl::StatusOr<table_row>& row)
@@ -110,7 +110,7 @@
                 });
 }
 
-void order_desk::send(const order_ptr& it)
+void order_manager::send(const order_ptr& it)
 {
     auto body = order_body(it->order);
     body["fence"] = it->fence;
@@ -146,7 +146,7 @@
         });
 }
 
-void order_desk::check_overtaken(const order_ptr& it)
+void order_manager::check_overtaken(const order_ptr& it)
 {
     if (it->target.checks_fencing)
     {
--- a/src/node/order_desk.hpp
+++ b/src/node/order_manager.hpp
@@ -28,12 +28,13 @@
 
 /// Gives orders to engines. The version of the row orders/<back end> is the
 /// fencing number, so the order committed last wins.
-class order_desk
+class order_manager
 {
 public:
     using done_callback = std::function<void(absl::Status, std::int64_t fence)>;
 
-    order_desk(control_loop& loop, http_client& engines, table_service& table);
+    order_manager(control_loop& loop, http_client& engines,
+                  table_service& table);
 
     /// Records the order and sends it. `version_conflict` if another order
     /// overtook it.
--- a/src/node/permit_desk.cpp
+++ b/src/node/permit_manager.cpp
@@ -1,4 +1,4 @@
-#include "node/permit_desk.hpp"
+#include "node/permit_manager.hpp"
 
 #include "galenapulley/config_registry.hpp"
 #include "galenapulley/fleet.hpp"
@@ -35,24 +35,24 @@
 
 } // namespace
 
-permit_desk::permit_desk(permit_desk_options options, parts uses)
+permit_manager::permit_manager(permit_manager_options options, parts uses)
     : options_(std::move(options)), parts_(uses), random_(options_.seed)
 {
 }
 
-permit_key permit_desk::key_of(std::uint64_t request) const
+permit_key permit_manager::key_of(std::uint64_t request) const
 {
     return {.node = options_.node,
             .incarnation = options_.incarnation,
             .request = request};
 }
 
-bool permit_desk::is_own(const permit_key& key) const
+bool permit_manager::is_own(const permit_key& key) const
 {
     return key.node == options_.node && key.incarnation == options_.incarnation;
 }
 
-std::string permit_desk::owner_of(const std::string& shard) const
+std::string permit_manager::owner_of(const std::string& shard) const
 {
     if (schedulers_.count(shard) != 0)
         return options_.node;
@@ -63,30 +63,31 @@
     return heard == nullptr ? std::string() : heard->node;
 }
 
-void permit_desk::send_to(const std::string& node,
-                          const wire::peer_message& message)
+void permit_manager::send_to(const std::string& node,
+                             const wire::peer_message& message)
 {
     if (const auto* it = parts_.members.find(node))
         parts_.peers.send(it->peer_address, message);
 }
 
-shard_picker&
-permit_desk::picker_for(const std::shared_ptr<const service>& target)
+shard_selector&
+permit_manager::selector_for(const std::shared_ptr<const service>& target)
 {
-    const auto it = pickers_.find(target->name);
-    if (it != pickers_.end())
+    const auto it = selectors_.find(target->name);
+    if (it != selectors_.end())
         return it->second;
-    auto& picker = pickers_.emplace(target->name, shard_picker(options_.zone))
-                       .first->second;
-    picker.set_service(*target);
-    picker.set_fleet(*parts_.registry.current_fleet());
+    auto& selector =
+        selectors_.emplace(target->name, shard_selector(options_.zone))
+            .first->second;
+    selector.set_service(*target);
+    selector.set_fleet(*parts_.registry.current_fleet());
     for (const auto& shard : target->shards())
-        picker.set_owner_known(shard, !owner_of(shard).empty());
-    return picker;
+        selector.set_owner_known(shard, !owner_of(shard).empty());
+    return selector;
 }
 
-std::uint64_t permit_desk::ask(const std::shared_ptr<const service>& target,
-                               permit_query query, answer_callback done)
+std::uint64_t permit_manager::ask(const std::shared_ptr<const service>& target,
+                                  permit_query query, answer_callback done)
 {
     const auto request = ++last_request_;
     query.key = key_of(request);
@@ -98,7 +99,7 @@
     return request;
 }
 
-void permit_desk::try_next(std::uint64_t request)
+void permit_manager::try_next(std::uint64_t request)
 {
     const auto found = waiting_.find(request);
     if (found == waiting_.end())
@@ -110,8 +111,8 @@
                                 "no permit before the deadline");
     std::optional<std::string> shard;
     if (it.tried.size() < options_.max_shards && now < it.query.deadline)
-        shard = picker_for(it.target).pick(it.query.length_class, it.tried, now,
-                                           random_);
+        shard = selector_for(it.target).pick(it.query.length_class, it.tried,
+                                             now, random_);
     if (!shard)
     {
         if (!ask_again_later(it))
@@ -126,7 +127,7 @@
     send_question(request, it);
 }
 
-void permit_desk::send_question(std::uint64_t request, waiting_request& it)
+void permit_manager::send_question(std::uint64_t request, waiting_request& it)
 {
     if (auto* own = find_scheduler(it.shard))
     {
@@ -154,7 +155,7 @@
     send_to(it.owner, message);
 }
 
-bool permit_desk::ask_again_later(waiting_request& it)
+bool permit_manager::ask_again_later(waiting_request& it)
 {
     const auto now = parts_.time.now();
     const auto kind =
@@ -176,7 +177,7 @@
     return true;
 }
 
-void permit_desk::ask_again(msec now)
+void permit_manager::ask_again(msec now)
 {
     std::vector<std::uint64_t> due;
     for (const auto& [request, it] : waiting_)
@@ -192,7 +193,7 @@
     }
 }
 
-void permit_desk::give_up(std::uint64_t request)
+void permit_manager::give_up(std::uint64_t request)
 {
     auto entry = waiting_.extract(request);
     if (entry.empty())
@@ -206,8 +207,8 @@
     it.done(refusal);
 }
 
-void permit_desk::take_grant(std::uint64_t request, const std::string& shard,
-                             std::vector<permit_share> shares)
+void permit_manager::take_grant(std::uint64_t request, const std::string& shard,
+                                std::vector<permit_share> shares)
 {
     auto entry = waiting_.extract(request);
     auto& it = entry.mapped();
@@ -219,8 +220,8 @@
         .request = request, .shard = shard, .shares = std::move(shares)});
 }
 
-void permit_desk::take_refusal(std::uint64_t request, const std::string& shard,
-                               error_kind kind)
+void permit_manager::take_refusal(std::uint64_t request,
+                                  const std::string& shard, error_kind kind)
 {
     const auto found = waiting_.find(request);
     if (found == waiting_.end() || found->second.shard != shard)
@@ -235,7 +236,7 @@
         try_next(request);
 }
 
-void permit_desk::cancel(std::uint64_t request)
+void permit_manager::cancel(std::uint64_t request)
 {
     const permit_result unused{.outcome = permit_outcome::unused};
     auto entry = waiting_.extract(request);
@@ -249,7 +250,7 @@
         send_release(it.shard, it.owner, request, unused);
 }
 
-void permit_desk::release(std::uint64_t request, const permit_result& result)
+void permit_manager::release(std::uint64_t request, const permit_result& result)
 {
     auto entry = granted_.extract(request);
     if (entry.empty())
@@ -258,9 +259,10 @@
     send_release(shard, owner_of(shard), request, result);
 }
 
-void permit_desk::send_release(const std::string& shard,
-                               const std::string& owner, std::uint64_t request,
-                               const permit_result& result)
+void permit_manager::send_release(const std::string& shard,
+                                  const std::string& owner,
+                                  std::uint64_t request,
+                                  const permit_result& result)
 {
     if (auto* own = find_scheduler(shard))
     {
@@ -281,7 +283,7 @@
     send_to(owner, message);
 }
 
-void permit_desk::check_silence()
+void permit_manager::check_silence()
 {
     const auto now = parts_.time.now();
     std::vector<std::uint64_t> silent;
@@ -305,7 +307,7 @@
         if (found == waiting_.end())
             continue;
         auto& it = found->second;
-        picker_for(it.target).on_silence(it.shard, now);
+        selector_for(it.target).on_silence(it.shard, now);
         // The owner may have queued it; it must not grant it later.
         send_release(it.shard, it.owner, request,
                      {.outcome = permit_outcome::unused});
@@ -313,7 +315,7 @@
     }
 }
 
-void permit_desk::handle_queued(const wire::peer_message& message)
+void permit_manager::handle_queued(const wire::peer_message& message)
 {
     const auto found = waiting_.find(message.permit_queued().request());
     if (found == waiting_.end() || found->second.owner != message.from())
@@ -322,7 +324,7 @@
     found->second.heard_at = parts_.time.now();
 }
 
-void permit_desk::handle_keep_alive(const wire::peer_message& message)
+void permit_manager::handle_keep_alive(const wire::peer_message& message)
 {
     for (const auto request : message.permit_keep_alive().requests())
     {
@@ -332,7 +334,7 @@
     }
 }
 
-void permit_desk::handle_grant(const wire::peer_message& message)
+void permit_manager::handle_grant(const wire::peer_message& message)
 {
     const auto& body = message.permit_grant();
     const auto now = parts_.time.now();
@@ -350,27 +352,27 @@
         return;
     }
     auto& it = found->second;
-    picker_for(it.target).on_free_slots(body.shard(), it.query.length_class,
-                                        body.free_slots(), now);
+    selector_for(it.target).on_free_slots(body.shard(), it.query.length_class,
+                                          body.free_slots(), now);
     take_grant(body.request(), body.shard(), to_shares(body));
 }
 
-void permit_desk::handle_refusal(const wire::peer_message& message)
+void permit_manager::handle_refusal(const wire::peer_message& message)
 {
     const auto& body = message.permit_refusal();
     const auto found = waiting_.find(body.request());
     if (found == waiting_.end() || found->second.owner != message.from())
         return;
     auto& it = found->second;
-    picker_for(it.target).on_free_slots(body.shard(), it.query.length_class,
-                                        body.free_slots(), parts_.time.now());
+    selector_for(it.target).on_free_slots(body.shard(), it.query.length_class,
+                                          body.free_slots(), parts_.time.now());
     const auto kind = body.error_kind() < error_kind_count
                           ? static_cast<error_kind>(body.error_kind())
                           : error_kind::overloaded;
     take_refusal(body.request(), body.shard(), kind);
 }
 
-void permit_desk::tick()
+void permit_manager::tick()
 {
     for (const auto& it : schedulers_)
         tick_scheduler(*it.second);
@@ -379,19 +381,19 @@
     send_keep_alives();
 }
 
-bool permit_desk::has_waiting() const
+bool permit_manager::has_waiting() const
 {
     return !waiting_.empty() ||
            std::any_of(schedulers_.begin(), schedulers_.end(),
                        [](const auto& it) { return it.second->queued() > 0; });
 }
 
-void permit_desk::on_owner_changed(const std::string& shard)
+void permit_manager::on_owner_changed(const std::string& shard)
 {
-    const auto picker = pickers_.find(service_of_shard(shard));
+    const auto selector = selectors_.find(service_of_shard(shard));
     const auto owner = owner_of(shard);
-    if (picker != pickers_.end())
-        picker->second.set_owner_known(shard, !owner.empty());
+    if (selector != selectors_.end())
+        selector->second.set_owner_known(shard, !owner.empty());
 
     wire::peer_message message;
     auto& body = *message.mutable_permit_register();
--- a/src/node/permit_desk.hpp
+++ b/src/node/permit_manager.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "galenapulley/permit.hpp"
-#include "galenapulley/shard_picker.hpp"
 #include "galenapulley/shard_scheduler.hpp"
-#include "galenapulley/strike_book.hpp"
+#include "galenapulley/shard_selector.hpp"
+#include "galenapulley/strike_registry.hpp"
 
 #include <absl/status/statusor.h>
 
@@ -39,7 +39,7 @@
 class permit_request;
 } // namespace wire
 
-struct permit_desk_options
+struct permit_manager_options
 {
     std::string node;
     std::int64_t incarnation = 0;
@@ -68,12 +68,12 @@
 };
 
 /// Asks shard owners for permits, and answers for the shards of this node.
-class permit_desk
+class permit_manager
 {
 public:
     using answer_callback = std::function<void(absl::StatusOr<granted_permit>)>;
 
-    /// What the desk works with; all of it outlives the desk.
+    /// What the manager works with; all of it outlives the manager.
     struct parts
     {
         const clock& time;
@@ -81,11 +81,11 @@
         membership& members;
         shard_claims& claims;
         view_freshness& freshness;
-        strike_book& strikes;
+        strike_registry& strikes;
         peer_link& peers;
     };
 
-    permit_desk(permit_desk_options options, parts uses);
+    permit_manager(permit_manager_options options, parts uses);
 
     /// Asks for a permit for one attempt at a service and returns the number
     /// of the request. `done` runs once unless the request is cancelled; it
@@ -145,7 +145,7 @@
         msec deadline = 0;
     };
 
-    using message_handler = void (permit_desk::*)(const wire::peer_message&);
+    using message_handler = void (permit_manager::*)(const wire::peer_message&);
     struct handler_entry
     {
         int body = 0;
@@ -187,17 +187,17 @@
     bool is_own(const permit_key& key) const;
     std::string owner_of(const std::string& shard) const;
     void send_to(const std::string& node, const wire::peer_message& message);
-    shard_picker& picker_for(const std::shared_ptr<const service>& target);
+    shard_selector& selector_for(const std::shared_ptr<const service>& target);
     permit_key key_of(std::uint64_t request) const;
 
-    permit_desk_options options_;
+    permit_manager_options options_;
     parts parts_;
     std::mt19937_64 random_;
     std::uint64_t last_request_ = 0;
     std::unordered_map<std::uint64_t, waiting_request> waiting_;
     std::unordered_map<std::uint64_t, held_permit> granted_;
     std::map<std::string, std::unique_ptr<shard_scheduler>> schedulers_;
-    std::map<std::string, shard_picker> pickers_;
+    std::map<std::string, shard_selector> selectors_;
     std::set<std::string> leaving_machines_;
     msec next_keep_alive_ = 0;
 };
--- a/src/node/permit_desk_owner.cpp
+++ b/src/node/permit_manager_owner.cpp
@@ -1,5 +1,5 @@
-// The owning side of the permit desk: answers for the shards of this node.
-#include "node/permit_desk.hpp"
+// The owning side of the permit manager: answers for the shards of this node.
+#include "node/permit_manager.hpp"
 
 #include "galenapulley/config_registry.hpp"
 #include "galenapulley/fleet.hpp"
@@ -16,23 +16,23 @@
 namespace galenapulley
 {
 
-const std::vector<permit_desk::handler_entry>& permit_desk::handlers()
+const std::vector<permit_manager::handler_entry>& permit_manager::handlers()
 {
     using body = wire::peer_message;
     static const std::vector<handler_entry> table{
-        {body::kPermitRequest, &permit_desk::handle_request},
-        {body::kPermitQueued, &permit_desk::handle_queued},
-        {body::kPermitGrant, &permit_desk::handle_grant},
-        {body::kPermitRefusal, &permit_desk::handle_refusal},
-        {body::kPermitRelease, &permit_desk::handle_release},
-        {body::kPermitRegister, &permit_desk::handle_register},
-        {body::kPermitKeepAlive, &permit_desk::handle_keep_alive},
-        {body::kStrike, &permit_desk::handle_strike},
+        {body::kPermitRequest, &permit_manager::handle_request},
+        {body::kPermitQueued, &permit_manager::handle_queued},
+        {body::kPermitGrant, &permit_manager::handle_grant},
+        {body::kPermitRefusal, &permit_manager::handle_refusal},
+        {body::kPermitRelease, &permit_manager::handle_release},
+        {body::kPermitRegister, &permit_manager::handle_register},
+        {body::kPermitKeepAlive, &permit_manager::handle_keep_alive},
+        {body::kStrike, &permit_manager::handle_strike},
     };
     return table;
 }
 
-void permit_desk::on_message(const wire::peer_message& message)
+void permit_manager::on_message(const wire::peer_message& message)
 {
     for (const auto& it : handlers())
     {
@@ -44,14 +44,14 @@
     }
 }
 
-shard_scheduler* permit_desk::find_scheduler(const std::string& shard)
+shard_scheduler* permit_manager::find_scheduler(const std::string& shard)
 {
     const auto it = schedulers_.find(shard);
     return it == schedulers_.end() ? nullptr : it->second.get();
 }
 
-permit_decision permit_desk::decide(shard_scheduler& scheduler,
-                                    const permit_query& query) const
+permit_decision permit_manager::decide(shard_scheduler& scheduler,
+                                       const permit_query& query) const
 {
     // An owner that may have missed a withdrawal gives out nothing.
     if (!parts_.freshness.is_fresh(parts_.time.now()))
@@ -61,9 +61,9 @@
     return scheduler.request(query);
 }
 
-void permit_desk::deliver(const shard_scheduler& scheduler,
-                          const permit_decision& decision,
-                          std::size_t length_class)
+void permit_manager::deliver(const shard_scheduler& scheduler,
+                             const permit_decision& decision,
+                             std::size_t length_class)
 {
     const auto request = decision.key.request;
     const auto& shard = scheduler.shard();
@@ -108,7 +108,7 @@
     send_to(decision.key.node, message);
 }
 
-void permit_desk::handle_request(const wire::peer_message& message)
+void permit_manager::handle_request(const wire::peer_message& message)
 {
     const auto& body = message.permit_request();
     permit_query query;
@@ -139,7 +139,7 @@
     deliver(*scheduler, decide(*scheduler, query), query.length_class);
 }
 
-void permit_desk::handle_release(const wire::peer_message& message)
+void permit_manager::handle_release(const wire::peer_message& message)
 {
     const auto& body = message.permit_release();
     auto* scheduler = find_scheduler(body.shard());
@@ -159,7 +159,7 @@
     tick_scheduler(*scheduler);
 }
 
-void permit_desk::handle_register(const wire::peer_message& message)
+void permit_manager::handle_register(const wire::peer_message& message)
 {
     const auto& body = message.permit_register();
     auto* scheduler = find_scheduler(body.shard());
@@ -178,7 +178,7 @@
     }
 }
 
-void permit_desk::handle_strike(const wire::peer_message& message)
+void permit_manager::handle_strike(const wire::peer_message& message)
 {
     const auto now = parts_.time.now();
     for (const auto& it : message.strike().strikes())
@@ -186,12 +186,12 @@
             {.fingerprint = it.fingerprint(),
              .crash_id = it.crash_id(),
              .at = now - std::clamp<msec>(it.age_ms(), 0,
-                                          strike_book::quarantine_time)},
+                                          strike_registry::quarantine_time)},
             now);
 }
 
-void permit_desk::send_strike(const std::string& service_name,
-                              const strike& item)
+void permit_manager::send_strike(const std::string& service_name,
+                                 const strike& item)
 {
     const auto now = parts_.time.now();
     parts_.strikes.add(item, now);
@@ -211,7 +211,7 @@
         send_to(owner, message);
 }
 
-void permit_desk::tick_scheduler(shard_scheduler& scheduler)
+void permit_manager::tick_scheduler(shard_scheduler& scheduler)
 {
     // A queued request is new work, too. Without keep-alives its node asks
     // another owner.
@@ -221,7 +221,7 @@
         deliver(scheduler, it, 0);
 }
 
-void permit_desk::send_keep_alives()
+void permit_manager::send_keep_alives()
 {
     const auto now = parts_.time.now();
     if (now < next_keep_alive_ || !parts_.freshness.is_fresh(now))
@@ -240,7 +240,7 @@
         }
 }
 
-void permit_desk::configure(shard_scheduler& scheduler)
+void permit_manager::configure(shard_scheduler& scheduler)
 {
     const auto target =
         parts_.registry.find_service(service_of_shard(scheduler.shard()));
@@ -249,16 +249,16 @@
     scheduler.set_fleet(*parts_.registry.current_fleet(), leaving_machines_);
 }
 
-void permit_desk::on_services_changed()
+void permit_manager::on_services_changed()
 {
     for (const auto& it : schedulers_)
         configure(*it.second);
-    for (auto it = pickers_.begin(); it != pickers_.end();)
+    for (auto it = selectors_.begin(); it != selectors_.end();)
     {
         const auto target = parts_.registry.find_service(it->first);
         if (!target)
         {
-            it = pickers_.erase(it);
+            it = selectors_.erase(it);
             continue;
         }
         it->second.set_service(*target);
@@ -269,18 +269,18 @@
     }
 }
 
-void permit_desk::on_fleet_changed(
+void permit_manager::on_fleet_changed(
     const std::set<std::string>& leaving_machines)
 {
     leaving_machines_ = leaving_machines;
     const auto current = parts_.registry.current_fleet();
     for (const auto& it : schedulers_)
         it.second->set_fleet(*current, leaving_machines_);
-    for (auto& it : pickers_)
+    for (auto& it : selectors_)
         it.second.set_fleet(*current);
 }
 
-void permit_desk::on_shard_gained(const owned_shard& shard)
+void permit_manager::on_shard_gained(const owned_shard& shard)
 {
     auto scheduler =
         std::make_unique<shard_scheduler>(shard.shard, parts_.time, random_);
@@ -292,7 +292,7 @@
     on_owner_changed(shard.shard);
 }
 
-void permit_desk::on_shard_lost(const std::string& shard)
+void permit_manager::on_shard_lost(const std::string& shard)
 {
     auto entry = schedulers_.extract(shard);
     if (entry.empty())
@@ -309,7 +309,7 @@
                     0);
 }
 
-void permit_desk::on_allowance_changed(const std::string& shard)
+void permit_manager::on_allowance_changed(const std::string& shard)
 {
     const auto owned = parts_.claims.find_owned(shard);
     auto* scheduler = find_scheduler(shard);
@@ -317,8 +317,8 @@
         scheduler->set_allowance(owned->lapsed_owners, owned->held);
 }
 
-void permit_desk::on_node_restarted(const std::string& node,
-                                    std::int64_t incarnation)
+void permit_manager::on_node_restarted(const std::string& node,
+                                       std::int64_t incarnation)
 {
     for (const auto& it : schedulers_)
         it.second->drop_node(node, incarnation);
--- a/src/node/plain_session.cpp
+++ b/src/node/plain_session.cpp
@@ -11,7 +11,7 @@
 #include "node/completion_request.hpp"
 #include "node/control_loop.hpp"
 #include "node/http_client.hpp"
-#include "node/permit_desk.hpp"
+#include "node/permit_manager.hpp"
 #include "node/session_parts.hpp"
 #include "node/token_hash.hpp"
 
@@ -173,10 +173,10 @@
     query.excluded = excluded_;
     query.is_retry = attempts_ > 0;
     const auto number =
-        parts_.desk.ask(service_, std::move(query),
-                        [self = shared_from_this()](
-                            const absl::StatusOr<granted_permit>& permit)
-                        { self->on_permit(permit); });
+        parts_.permits.ask(service_, std::move(query),
+                           [self = shared_from_this()](
+                               const absl::StatusOr<granted_permit>& permit)
+                           { self->on_permit(permit); });
     if (!has_permit_ && !ended_already_)
         permit_ = number;
 }
@@ -353,7 +353,7 @@
     const auto permit = std::exchange(permit_, 0);
     if (!std::exchange(has_permit_, false))
     {
-        parts_.desk.cancel(permit);
+        parts_.permits.cancel(permit);
         return;
     }
     permit_result result{.outcome = outcome};
@@ -362,7 +362,7 @@
     if (is_fault && !excluded_.empty())
         result.failed_back_end = excluded_.back();
     parts_.counts.count(outcome);
-    parts_.desk.release(permit, result);
+    parts_.permits.release(permit, result);
 }
 
 void plain_session::on_disconnect()
--- a/src/node/request_front.cpp
+++ b/src/node/request_handler.cpp
@@ -1,4 +1,4 @@
-#include "node/request_front.hpp"
+#include "node/request_handler.hpp"
 
 #include "galenapulley/counters.hpp"
 #include "galenapulley/error_kind.hpp"
@@ -47,13 +47,14 @@
 
 } // namespace
 
-request_front::request_front(control_loop& loop, counters& counts, node& target)
+request_handler::request_handler(control_loop& loop, counters& counts,
+                                 node& target)
     : loop_(loop), counts_(counts), node_(target)
 {
 }
 
-void request_front::handle(http_request request,
-                           const std::shared_ptr<http_exchange>& exchange)
+void request_handler::handle(http_request request,
+                             const std::shared_ptr<http_exchange>& exchange)
 {
     if (request.path == "/healthz")
     {
@@ -82,7 +83,7 @@
                { node_.answer_other(request, exchange); });
 }
 
-void request_front::take_completion(
+void request_handler::take_completion(
     const std::string& service, const http_request& request,
     const std::shared_ptr<http_exchange>& exchange)
 {
--- a/src/node/request_front.hpp
+++ b/src/node/request_handler.hpp
@@ -14,10 +14,10 @@
 
 /// Entry point of callers' requests. Parses on the worker thread, and hands
 /// what is left to the control thread.
-class request_front
+class request_handler
 {
 public:
-    request_front(control_loop& loop, counters& counts, node& target);
+    request_handler(control_loop& loop, counters& counts, node& target);
 
     void handle(http_request request,
                 const std::shared_ptr<http_exchange>& exchange);
--- a/src/node/session_parts.hpp
+++ b/src/node/session_parts.hpp
@@ -16,7 +16,7 @@
 class held_reservations;
 class http_client;
 class latency;
-class permit_desk;
+class permit_manager;
 class retry_budget;
 class view_freshness;
 
@@ -28,7 +28,7 @@
     const clock& time;
     control_loop& loop;
     http_client& engines;
-    permit_desk& desk;
+    permit_manager& permits;
     config_registry& registry;
     view_freshness& freshness;
     counters& counts;
--- a/tests/fuzz/peer_message_fuzz_test.cpp
+++ b/tests/fuzz/peer_message_fuzz_test.cpp
@@ -10,8 +10,8 @@
 #include "galenapulley/service.hpp"
 #include "galenapulley/shard_claims.hpp"
 #include "galenapulley/view_freshness.hpp"
-#include "node/config_desk.hpp"
-#include "node/permit_desk.hpp"
+#include "node/config_manager.hpp"
+#include "node/permit_manager.hpp"
 #include "peer.pb.h"
 #include "text_mutator.hpp"
 
@@ -292,18 +292,18 @@
             .IgnoreError();
         view.note_own_read(time.now());
         for (const auto* name : {"drafting/ub-east/0", "drafting/ub-west/0"})
-            desk.on_shard_gained({.shard = name,
-                                  .epoch = 1,
-                                  .lapsed_owners = 0,
-                                  .held = true,
-                                  .claimed_at = time.now()});
+            manager.on_shard_gained({.shard = name,
+                                     .epoch = 1,
+                                     .lapsed_owners = 0,
+                                     .held = true,
+                                     .claimed_at = time.now()});
     }
 
     /// Whether the service and both schedulers are still there.
     bool serves()
     {
         return registry.find_service("drafting") != nullptr &&
-               desk.find_scheduler("drafting/ub-east/0") != nullptr;
+               manager.find_scheduler("drafting/ub-east/0") != nullptr;
     }
 
     /// As the node does with each message, and lets time pass.
@@ -318,7 +318,7 @@
                 members.note_shard_owner({.shard = owner.shard(),
                                           .node = owner.node(),
                                           .epoch = owner.epoch()});
-                desk.on_owner_changed(owner.shard());
+                manager.on_owner_changed(owner.shard());
             }
             if (const auto proven = members.proven_time(it))
                 view.note_peer_age(*proven, it.store_read_age_ms());
@@ -328,14 +328,14 @@
         else
         {
             config.on_message(message, true);
-            desk.on_message(message);
+            manager.on_message(message);
         }
         time.advance(7);
         view.note_own_read(time.now());
         view.tick(time.now(), {});
         members.tick(time.now());
         config.tick();
-        desk.tick();
+        manager.tick();
     }
 
     /// A request of this node, so that answers meet a waiting question.
@@ -348,7 +348,7 @@
         query.customer = "clerk";
         query.prompt_tokens = 100;
         query.deadline = time.now() + 300;
-        desk.ask(target, std::move(query), [](const auto&) {});
+        manager.ask(target, std::move(query), [](const auto&) {});
     }
 
     manual_clock time{100'000};
@@ -363,7 +363,7 @@
                         .incarnation = 1,
                         .seeds = {}}};
     view_freshness view;
-    strike_book strikes;
+    strike_registry strikes;
     node_lease lease{time,
                      table,
                      {.node = "n1",
@@ -376,22 +376,22 @@
     shard_claims claims{time, table, lease};
     config_sync sync{table, registry, time};
     config_writer writer{table, time};
-    config_desk config{"ub-east",
-                       {.time = time,
-                        .registry = registry,
-                        .sync = sync,
-                        .writer = writer,
-                        .members = members,
-                        .peers = peers,
-                        .counts = counts}};
-    permit_desk desk{{.node = "n1", .incarnation = 1, .zone = "ub-east"},
-                     {.time = time,
-                      .registry = registry,
-                      .members = members,
-                      .claims = claims,
-                      .freshness = view,
-                      .strikes = strikes,
-                      .peers = peers}};
+    config_manager config{"ub-east",
+                          {.time = time,
+                           .registry = registry,
+                           .sync = sync,
+                           .writer = writer,
+                           .members = members,
+                           .peers = peers,
+                           .counts = counts}};
+    permit_manager manager{{.node = "n1", .incarnation = 1, .zone = "ub-east"},
+                           {.time = time,
+                            .registry = registry,
+                            .members = members,
+                            .claims = claims,
+                            .freshness = view,
+                            .strikes = strikes,
+                            .peers = peers}};
 };
 
 } // namespace
--- a/tests/unit/shard_scheduler_test.cpp
+++ b/tests/unit/shard_scheduler_test.cpp
@@ -1,6 +1,6 @@
 #include "galenapulley/load_report.hpp"
 #include "galenapulley/shard_scheduler.hpp"
-#include "galenapulley/strike_book.hpp"
+#include "galenapulley/strike_registry.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -245,7 +245,7 @@
 // Guards against a request that crashes one back end after another.
 BOOST_AUTO_TEST_CASE(quarantined_fingerprint_is_refused)
 {
-    strike_book strikes;
+    strike_registry strikes;
     scheduler.set_strikes(&strikes);
     auto it = query();
     it.fingerprint = 77;
--- a/tests/unit/shard_picker_test.cpp
+++ b/tests/unit/shard_selector_test.cpp
@@ -1,6 +1,6 @@
 #include "galenapulley/fleet.hpp"
 #include "galenapulley/service.hpp"
-#include "galenapulley/shard_picker.hpp"
+#include "galenapulley/shard_selector.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -31,32 +31,32 @@
     return document;
 }
 
-struct picker_fixture
+struct selector_fixture
 {
-    picker_fixture() { picker.set_service(document); }
+    selector_fixture() { selector.set_service(document); }
 
     std::string pick(const std::vector<std::string>& tried = {}, msec now = 0)
     {
-        return picker.pick(0, tried, now, random).value_or("");
+        return selector.pick(0, tried, now, random).value_or("");
     }
 
     void set_free(const std::string& shard, std::uint32_t n, msec now = 0)
     {
-        picker.on_capacity({.shard = shard,
-                            .epoch = 1,
-                            .free_slots_by_class = {n},
-                            .queued = 0},
-                           now);
+        selector.on_capacity({.shard = shard,
+                              .epoch = 1,
+                              .free_slots_by_class = {n},
+                              .queued = 0},
+                             now);
     }
 
     service document = service_in({"east", "west"});
-    shard_picker picker{"east"};
-    shard_picker::generator random{5};
+    shard_selector selector{"east"};
+    shard_selector::generator random{5};
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(shard_picker_suite, picker_fixture)
+BOOST_FIXTURE_TEST_SUITE(shard_selector_suite, selector_fixture)
 
 // Guards against traffic between zones without need, and against requests that
 // wait at home while another zone is free.
@@ -77,8 +77,8 @@
 // arrives after the withdrawal.
 BOOST_AUTO_TEST_CASE(withdrawn_zone_is_never_chosen)
 {
-    picker.set_fleet({.withdrawn_zones = {"east"}, .withdrawn_machines = {}});
-    shard_picker later("east");
+    selector.set_fleet({.withdrawn_zones = {"east"}, .withdrawn_machines = {}});
+    shard_selector later("east");
     later.set_fleet({.withdrawn_zones = {"east"}, .withdrawn_machines = {}});
     later.set_service(document);
     for (int n = 0; n < 50; ++n)
@@ -86,7 +86,7 @@
         BOOST_TEST(zone_of_shard(pick()) == "west");
         BOOST_TEST(zone_of_shard(*later.pick(0, {}, 0, random)) == "west");
     }
-    picker.set_fleet({});
+    selector.set_fleet({});
     BOOST_TEST(zone_of_shard(pick()) == "east");
 }
 
@@ -94,7 +94,7 @@
 // owner.
 BOOST_AUTO_TEST_CASE(tried_and_ownerless_shards_are_left_out)
 {
-    picker.set_owner_known("s/east/1", false);
+    selector.set_owner_known("s/east/1", false);
     BOOST_TEST(pick() == "s/east/0");
     BOOST_TEST(zone_of_shard(pick({"s/east/0"})) == "west");
     BOOST_TEST(pick({"s/east/0", "s/west/0", "s/west/1"}).empty());
@@ -103,7 +103,7 @@
 // Guards against losing 300 ms per request to an owner that is gone.
 BOOST_AUTO_TEST_CASE(silent_owner_is_asked_last_until_it_speaks)
 {
-    picker.on_silence("s/east/0", 0);
+    selector.on_silence("s/east/0", 0);
     for (int n = 0; n < 20; ++n)
         BOOST_TEST(pick() == "s/east/1");
     BOOST_TEST(!pick({"s/east/1", "s/west/0", "s/west/1"}).empty());
@@ -115,8 +115,8 @@
 // Guards against a digest of a former owner that overwrites its successor's.
 BOOST_AUTO_TEST_CASE(older_epoch_is_ignored)
 {
-    picker.on_capacity({"s/east/0", 5, {0}, 0}, 0);
-    picker.on_capacity({"s/east/0", 4, {100}, 0}, 1);
+    selector.on_capacity({"s/east/0", 5, {0}, 0}, 0);
+    selector.on_capacity({"s/east/0", 4, {100}, 0}, 1);
     for (int n = 0; n < 20; ++n)
         BOOST_TEST(pick() == "s/east/1");
 }
@@ -129,14 +129,14 @@
 RC_BOOST_PROP(picks_do_not_exceed_reported_slots,
               (std::uint8_t a, std::uint8_t b, std::uint32_t seed))
 {
-    shard_picker picker("east");
-    picker.set_service(service_in({"east"}));
-    picker.on_capacity({"s/east/0", 1, {a}, 0}, 0);
-    picker.on_capacity({"s/east/1", 1, {b}, 0}, 0);
-    shard_picker::generator random(seed);
+    shard_selector selector("east");
+    selector.set_service(service_in({"east"}));
+    selector.on_capacity({"s/east/0", 1, {a}, 0}, 0);
+    selector.on_capacity({"s/east/1", 1, {b}, 0}, 0);
+    shard_selector::generator random(seed);
     std::map<std::string, int> picks;
     for (int n = 0; n < a + b; ++n)
-        ++picks[*picker.pick(0, {}, 0, random)];
+        ++picks[*selector.pick(0, {}, 0, random)];
     RC_ASSERT(picks["s/east/0"] == a);
     RC_ASSERT(picks["s/east/1"] == b);
 }
--- a/tests/unit/strike_book_test.cpp
+++ b/tests/unit/strike_registry_test.cpp
@@ -1,4 +1,4 @@
-#include "galenapulley/strike_book.hpp"
+#include "galenapulley/strike_registry.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -12,7 +12,7 @@
 // Guards against a quarantine after one crash that is heard of several times.
 BOOST_AUTO_TEST_CASE(same_crash_counts_once)
 {
-    strike_book book;
+    strike_registry book;
     BOOST_TEST(book.add({.fingerprint = 1, .crash_id = 10, .at = 0}, 0));
     BOOST_TEST(!book.add({.fingerprint = 1, .crash_id = 10, .at = 5}, 5));
     BOOST_TEST(!book.is_quarantined(1, 5));
@@ -25,7 +25,7 @@
 // repeats old strikes.
 BOOST_AUTO_TEST_CASE(quarantine_ends_after_ten_minutes)
 {
-    strike_book book;
+    strike_registry book;
     book.add({.fingerprint = 1, .crash_id = 10, .at = 0}, 0);
     book.add({.fingerprint = 1, .crash_id = 11, .at = 300'000}, 300'000);
     for (msec now = 300'000; now < 900'000; now += 1'000)
@@ -55,8 +55,8 @@
                 {.fingerprint = n % 3U, .crash_id = at, .at = at * 20_ms});
     }
     const msec now = 65'536 * 20_ms;
-    strike_book book;
-    strike_book other;
+    strike_registry book;
+    strike_registry other;
     for (const auto& it : strikes)
         book.add(it, now);
     std::mt19937 random(seed);
@@ -74,8 +74,8 @@
         std::sort(times.rbegin(), times.rend());
         const bool expected =
             times.size() > 1 &&
-            times[0] - times[1] < strike_book::quarantine_time &&
-            times[0] + strike_book::quarantine_time > now;
+            times[0] - times[1] < strike_registry::quarantine_time &&
+            times[0] + strike_registry::quarantine_time > now;
         RC_ASSERT(book.is_quarantined(fingerprint, now) == expected);
         RC_ASSERT(other.is_quarantined(fingerprint, now) == expected);
     }
@@ -85,7 +85,7 @@
 // by crashing back ends with other prompts.
 BOOST_AUTO_TEST_CASE(size_is_bounded_and_quarantines_stay)
 {
-    strike_book book(100);
+    strike_registry book(100);
     book.add({.fingerprint = 1, .crash_id = 1, .at = 0}, 0);
     book.add({.fingerprint = 1, .crash_id = 2, .at = 0}, 0);
     for (std::uint64_t n = 10; n < 1000; ++n)
