Sweeper: read the lease row of a silent node earlier

Cause: memory_return_test node_killed_between_reserve_and_release failed once in 4 runs: the reservations of a dead node outlived the bound of 22.5 s. Ruled out: a lost release (the memory was free before the test ended). The claim of the shard took up to 1.3 s longer than the bound assumes, since the claimant polls, and the lease row was read only after one TTL of silence. Change: it is read after a quarter of a TTL; the condition of 3 unchanged TTLs is the same.

--- a/src/galenapulley/reservation_sweeper.cpp
+++ b/src/galenapulley/reservation_sweeper.cpp
@@ -17,6 +17,9 @@
 constexpr msec min_question_age = 2000;
 constexpr msec question_interval = 10'000;
 constexpr msec silent_ttls = 3;
+/// A lease row is read from a quarter of a TTL of silence on, so that the time
+/// for which it is unchanged counts almost from the node's death.
+constexpr msec lease_read_divisor = 4;
 constexpr std::size_t max_ids_per_question = 100;
 
 template <typename Number>
@@ -166,7 +169,7 @@
                                               msec now) const
 {
     for (const auto& [node, facts] : nodes_)
-        if (now - facts.heard >= ttl_)
+        if (now - facts.heard >= ttl_ / lease_read_divisor)
             actions.lease_reads.push_back(node);
 }
 
