Scheduler: a returned back end ramps from cold; holds end with the queue

The new ramp made shard_scheduler_model_test find an older fault: back ends held for a queued segmented request stayed held until the next tick after that request had left the queue. Change: a back end that is admitted again starts its ramp anew and needs a warm report; holds end when the queue is empty. The naive model has the same rule for returned back ends, which makes its limit stricter.

--- a/src/galenapulley/shard_scheduler.cpp
+++ b/src/galenapulley/shard_scheduler.cpp
@@ -175,7 +175,12 @@
             active.insert(service_.shard_of(it));
     active_shards_ = std::max(1U, static_cast<std::uint32_t>(active.size()));
     for (auto& it : loads_)
-        it.admitted = is_admitted(it.target());
+    {
+        const bool admitted = is_admitted(it.target());
+        if (admitted && !it.admitted)
+            it.ramp().on_readmitted(now_);
+        it.admitted = admitted;
+    }
     recheck_queue_ = true;
     update_yielding();
     choose_long_back_ends();
@@ -239,7 +244,10 @@
 {
     now_ = clock_.now();
     if (const auto it = queued_.find(key); it != queued_.end())
+    {
         remove_queued(it);
+        end_holds();
+    }
     permit_result result;
     result.outcome = permit_outcome::unused;
     release(key, result);
--- a/src/galenapulley/shard_scheduler.hpp
+++ b/src/galenapulley/shard_scheduler.hpp
@@ -221,6 +221,7 @@
     void refuse_hopeless(std::vector<permit_decision>& decisions);
     bool grant_from(std::size_t length_class,
                     std::vector<permit_decision>& decisions);
+    void end_holds();
     void grant_queued(std::vector<permit_decision>& decisions);
 
     std::string shard_;
--- a/src/galenapulley/shard_scheduler_admission.cpp
+++ b/src/galenapulley/shard_scheduler_admission.cpp
@@ -198,9 +198,19 @@
     refuse_hopeless(decisions);
     if (now_ >= grants_from_)
         grant_queued(decisions);
+    end_holds();
     return decisions;
 }
 
+// Back ends are held for queued requests only.
+void shard_scheduler::end_holds()
+{
+    if (!queued_.empty())
+        return;
+    for (auto& it : loads_)
+        it.held = false;
+}
+
 void shard_scheduler::refuse_hopeless(std::vector<permit_decision>& decisions)
 {
     while (!queue_deadlines_.empty() && queue_deadlines_.begin()->first <= now_)
--- a/src/galenapulley/warm_up.cpp
+++ b/src/galenapulley/warm_up.cpp
@@ -83,6 +83,11 @@
     may_advance_ = !bounds_.reports;
 }
 
+void warm_up::on_readmitted(msec now)
+{
+    on_connection_failure(now);
+}
+
 void warm_up::on_error(msec now)
 {
     if (!is_warm(now))
--- a/src/galenapulley/warm_up.hpp
+++ b/src/galenapulley/warm_up.hpp
@@ -35,6 +35,9 @@
     void on_report(const load_report& report, msec now);
     /// A connection failed or was lost.
     void on_connection_failure(msec now);
+    /// New work is admitted again after a withdrawal. The last report may be
+    /// from before the back end lost its state, so the ramp starts again.
+    void on_readmitted(msec now);
     /// A request failed: the current step starts again.
     void on_error(msec now);
     /// `tokens` counts the prompt and the prefill work queued before it.
--- a/tests/unit/shard_scheduler_model_test.cpp
+++ b/tests/unit/shard_scheduler_model_test.cpp
@@ -307,13 +307,18 @@
 
     void withdraw()
     {
-        withdrawn_.clear();
+        const auto former = std::exchange(withdrawn_, {});
         if (pick(2) == 0)
             withdrawn_.insert("vm-" + std::to_string(pick(3)));
         if (pick(2) == 0)
             scheduler_.set_fleet({{}, withdrawn_}, {});
         else
             scheduler_.set_fleet({}, withdrawn_);
+        // A back end may have turned cold while it was out.
+        for (auto& it : back_ends_)
+            if (former.count(it.target.machine) > 0 &&
+                withdrawn_.count(it.target.machine) == 0)
+                it.warm_since = -1;
     }
 
     void lapse()
