--- /dev/null
+++ b/src/galenapulley/cluster_rows.cpp
@@ -0,0 +1,41 @@
+#include "galenapulley/cluster_rows.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+bool cluster_rows::replace(std::vector<cluster_row> rows, std::uint64_t version)
+{
+    if (version < version_ || version == 0)
+        return false;
+    rows_.clear();
+    for (auto& it : rows)
+        if (!it.deleted)
+            rows_.insert_or_assign(it.key, std::move(it));
+    version_ = version;
+    return true;
+}
+
+bool cluster_rows::apply(const std::vector<cluster_row>& changes,
+                         std::uint64_t after, std::uint64_t version)
+{
+    if (version_ == 0 || version_ < after)
+        return false;
+    for (const auto& it : changes)
+    {
+        const auto known = rows_.find(it.key);
+        if (it.version <= version_ ||
+            (known != rows_.end() && known->second.version >= it.version))
+            continue;
+        if (it.deleted)
+            rows_.erase(it.key);
+        else
+            rows_.insert_or_assign(it.key, it);
+    }
+    version_ = std::max(version_, version);
+    return true;
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/endpoint_registry.cpp
@@ -0,0 +1,127 @@
+#include "galenapulley/endpoint_registry.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace galenapulley
+{
+
+endpoint_key key_of(const endpoint& value)
+{
+    const auto text =
+        value.id + '@' + value.address + '@' + std::to_string(value.born);
+    return XXH64(text.data(), text.size(), 0);
+}
+
+void endpoint_registry::update(const std::vector<endpoint>& entries,
+                               bool dependable, msec now)
+{
+    std::set<std::string> present;
+    for (const auto& it : entries)
+    {
+        present.insert(it.id);
+        const auto key = key_of(it);
+        auto& known = all_[it.id];
+        const bool new_incarnation = known.key != key;
+        if (new_incarnation)
+            known = {.description = it, .key = key};
+        const bool was_cold = known.cold_until > now;
+        if (it.cold_left > 0 && (new_incarnation || !was_cold ||
+                                 it.cold_left != known.description.cold_left))
+            known.cold_until = now + it.cold_left;
+        known.description = it;
+        known.missing_since.reset();
+    }
+    for (auto it = all_.begin(); it != all_.end();)
+    {
+        if (present.contains(it->first))
+            ++it;
+        else if (dependable)
+            it = all_.erase(it);
+        else
+        {
+            if (!it->second.missing_since)
+                it->second.missing_since = now;
+            ++it;
+        }
+    }
+}
+
+void endpoint_registry::drop_missing(bool dependable, msec dependable_since,
+                                     msec now)
+{
+    if (!dependable || now - dependable_since < lapse_grace)
+        return;
+    std::erase_if(all_, [](const auto& it)
+                  { return it.second.missing_since.has_value(); });
+}
+
+known_endpoint* endpoint_registry::lookup(endpoint_key key)
+{
+    for (auto& [id, it] : all_)
+        if (it.key == key)
+            return &it;
+    return nullptr;
+}
+
+const known_endpoint* endpoint_registry::find(endpoint_key key) const
+{
+    for (const auto& [id, it] : all_)
+        if (it.key == key)
+            return &it;
+    return nullptr;
+}
+
+void endpoint_registry::on_failure(endpoint_key key, msec now)
+{
+    auto* const it = lookup(key);
+    if (it == nullptr)
+        return;
+    const auto pause = avoid_time << std::min(it->failures, 4U);
+    ++it->failures;
+    it->avoid_until = now + std::min(pause, avoid_time_max);
+}
+
+void endpoint_registry::on_full(endpoint_key key, msec now)
+{
+    if (auto* const it = lookup(key))
+        it->avoid_until = std::max(it->avoid_until, now + full_time);
+}
+
+void endpoint_registry::on_success(endpoint_key key)
+{
+    auto* const it = lookup(key);
+    if (it == nullptr)
+        return;
+    it->failures = 0;
+    it->avoid_until = 0;
+}
+
+void endpoint_registry::on_cold(endpoint_key key, msec left, msec now)
+{
+    if (auto* const it = lookup(key))
+        it->cold_until = std::max(it->cold_until, now + left);
+}
+
+void endpoint_registry::on_replaced(endpoint_key key, msec now)
+{
+    // The entry stays until the store drops it, so it is kept out of use here.
+    if (auto* const it = lookup(key))
+        it->avoid_until = now + replaced_time;
+}
+
+std::vector<const known_endpoint*>
+endpoint_registry::usable(const std::string& service, msec now) const
+{
+    std::vector<const known_endpoint*> out;
+    for (const auto& [id, it] : all_)
+        if (it.description.service == service && !it.description.draining &&
+            it.avoid_until <= now)
+            out.push_back(&it);
+    return out;
+}
+
+} // namespace galenapulley
--- a/src/galenapulley/error_kind.cpp
+++ b/src/galenapulley/error_kind.cpp
@@ -57,6 +57,11 @@
      1000},
     {stream_broken, "stream_broken", 502, code::kDataLoss, may_have_run, 1000},
     {cancelled, "cancelled", 499, code::kCancelled, may_have_run, 0},
+    {headers_too_large, "headers_too_large", 431, code::kOutOfRange, not_run,
+     0},
+    {body_too_large, "body_too_large", 413, code::kOutOfRange, not_run, 0},
+    {request_timeout, "request_timeout", 408, code::kDeadlineExceeded, not_run,
+     100},
     {internal, "internal", 500, code::kInternal, may_have_run, 1000},
 }};
 
--- a/src/galenapulley/error_kind.hpp
+++ b/src/galenapulley/error_kind.hpp
@@ -41,6 +41,9 @@
     back_end_failed,
     stream_broken,
     cancelled,
+    headers_too_large,
+    body_too_large,
+    request_timeout,
     internal
 };
 
--- a/src/galenapulley/json_reader.cpp
+++ b/src/galenapulley/json_reader.cpp
@@ -273,6 +273,28 @@
     return low;
 }
 
+double object_reader::decimal(const char* key, double low, double high,
+                              std::optional<double> fallback)
+{
+    const auto* value = field(key);
+    const auto allowed =
+        "a number from " + std::to_string(low) + " to " + std::to_string(high);
+    if (value == nullptr)
+    {
+        if (!fallback && value_.is_object())
+            faults_.add_missing(path_of(key), allowed);
+        return fallback.value_or(low);
+    }
+    if (value->is_number())
+    {
+        const auto n = value->get<double>();
+        if (n >= low && n <= high)
+            return n;
+    }
+    faults_.add(path_of(key), *value, allowed);
+    return low;
+}
+
 bool object_reader::flag(const char* key, std::optional<bool> fallback)
 {
     const auto* value = field(key);
--- a/src/galenapulley/json_reader.hpp
+++ b/src/galenapulley/json_reader.hpp
@@ -71,6 +71,8 @@
                        const std::optional<std::string>& fallback = {});
     std::uint32_t number(const char* key, std::uint32_t low, std::uint32_t high,
                          std::optional<std::uint32_t> fallback = {});
+    double decimal(const char* key, double low, double high,
+                   std::optional<double> fallback = {});
     bool flag(const char* key, std::optional<bool> fallback = {});
     std::vector<std::string> names(const char* key, const text_rule& rule,
                                    bool required);
--- /dev/null
+++ b/src/galenapulley/prompt_placement.cpp
@@ -0,0 +1,211 @@
+#include "galenapulley/prompt_placement.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+/// Share of the worth that is lost when an answer is late.
+constexpr double late_share = 0.75;
+/// Part of a time limit from which on lateness is counted as possible.
+constexpr double safe_share = 0.6;
+/// Loss per millisecond of expected first event, relative to the target. It
+/// decides between placements that are all in time.
+constexpr double delay_weight = 0.05;
+/// Loss of one more endpoint that reads a part, for its share of the passes.
+constexpr double part_weight = 0.02;
+/// Gain of an engine that already runs others, relative to a full one, for
+/// short prompts.
+constexpr double packing_weight = 0.1;
+constexpr double cross_domain_weight = 0.001;
+
+/// 0 while `time` is well within `limit`, 1 beyond it.
+double lateness(double time, double limit)
+{
+    if (limit <= 0)
+        return 0;
+    return std::clamp((time / limit - safe_share) / (1 - safe_share), 0.0, 1.0);
+}
+
+struct option
+{
+    std::size_t index = 0;
+    double harm = 0;
+    double backlog = 0;
+    bool can_run = false;
+};
+
+class planner
+{
+public:
+    planner(const engine_profile& engine, const placement_request& request,
+            std::span<const placement_candidate> candidates)
+        : engine_(engine)
+        , request_(request)
+        , candidates_(candidates)
+        , read_ms_(engine.read_ms(request.prompt_tokens))
+    {
+    }
+
+    std::optional<placement_choice> best() const
+    {
+        std::optional<placement_choice> found;
+        const auto most = std::min(request_.max_parts, candidates_.size());
+        for (std::size_t parts = 1; parts <= most; ++parts)
+        {
+            auto it = with_parts(parts);
+            if (it && (!found || it->loss < found->loss))
+                found = std::move(it);
+        }
+        return found;
+    }
+
+private:
+    bool can_run(const placement_candidate& it) const
+    {
+        return it.load.running < it.slots && it.load.memory_tokens +
+                                                     request_.prompt_tokens +
+                                                     request_.output_tokens <=
+                                                 engine_.memory_tokens;
+    }
+
+    /// Longest pass of an engine that has `backlog` to read beside writers.
+    double pass_ms(const placement_candidate& it, double backlog) const
+    {
+        const double longest =
+            engine_.longest_read_in_pass_ms(read_ms_, request_.prompt_tokens);
+        return engine_.pass_ms(it.load.running + 1, it.load.context_tokens) +
+               std::min(backlog, std::max(longest, it.load.backlog_ms));
+    }
+
+    /// Worth that the writers of an engine lose when it reads `part` more.
+    double harm(const placement_candidate& it, double part) const
+    {
+        const double before = pass_ms(it, it.load.backlog_ms);
+        const double after = pass_ms(it, it.load.backlog_ms + part);
+        double loss = 0;
+        for (const auto& w : it.load.writers)
+        {
+            const auto gap = static_cast<double>(w.gap_target);
+            loss += w.value * late_share *
+                    (lateness(after, gap) - lateness(before, gap));
+        }
+        return loss;
+    }
+
+    double packing(const placement_candidate& it) const
+    {
+        // Only prompts that are read within one short pass are packed.
+        if (request_.gap_ms <= 0 || read_ms_ > request_.gap_ms / 2)
+            return 0;
+        return packing_weight * it.load.running / std::max(1U, it.slots);
+    }
+
+    std::vector<option> options(double part) const
+    {
+        std::vector<option> out;
+        for (std::size_t n = 0; n < candidates_.size(); ++n)
+        {
+            const auto& it = candidates_[n];
+            const double own =
+                request_.value * late_share *
+                lateness(request_.waited_ms + it.load.backlog_ms + part,
+                         request_.target_ms);
+            out.push_back(
+                {.index = n,
+                 .harm = harm(it, part) + own - packing(it) +
+                         (it.same_domain ? 0 : cross_domain_weight) +
+                         delay_weight * request_.value * it.load.backlog_ms /
+                             std::max(1.0, request_.target_ms),
+                 .backlog = it.load.backlog_ms,
+                 .can_run = can_run(it)});
+        }
+        std::sort(out.begin(), out.end(),
+                  [](const option& a, const option& b)
+                  { return a.harm < b.harm; });
+        return out;
+    }
+
+    std::optional<placement_choice> with_parts(std::size_t parts) const
+    {
+        const double part = read_ms_ / static_cast<double>(parts);
+        const auto sorted = options(part);
+        const auto runner =
+            std::find_if(sorted.begin(), sorted.end(),
+                         [](const option& it) { return it.can_run; });
+        if (runner == sorted.end())
+            return std::nullopt;
+        placement_choice out{.chosen = {runner->index}, .part_ms = part};
+        double backlog = runner->backlog;
+        const auto& first = candidates_[runner->index];
+        double disturbed = harm(first, part) - packing(first);
+        for (const auto& it : sorted)
+        {
+            if (out.chosen.size() == parts)
+                break;
+            if (it.index == runner->index)
+                continue;
+            out.chosen.push_back(it.index);
+            backlog = std::max(backlog, it.backlog);
+            disturbed += harm(candidates_[it.index], part);
+        }
+        const auto pass =
+            engine_.pass_ms(first.load.running + 1, first.load.context_tokens);
+        out.first_event_ms = backlog + part + pass;
+        out.loss = disturbed + own_loss(first, out.first_event_ms) +
+                   part_weight * static_cast<double>(parts - 1) +
+                   (first.same_domain ? 0 : cross_domain_weight);
+        return out;
+    }
+
+    double own_loss(const placement_candidate& first, double first_event) const
+    {
+        const double time = request_.waited_ms + first_event;
+        // Reads that are already queued there lengthen its own pauses.
+        const double pause = pass_ms(first, first.load.backlog_ms);
+        const double late = std::max(lateness(time, request_.target_ms),
+                                     lateness(pause, request_.gap_ms));
+        return request_.value *
+               (late_share * late +
+                delay_weight * time / std::max(1.0, request_.target_ms));
+    }
+
+    const engine_profile& engine_;
+    const placement_request& request_;
+    std::span<const placement_candidate> candidates_;
+    double read_ms_;
+};
+
+} // namespace
+
+std::optional<placement_choice>
+place_prompt(const engine_profile& engine, const placement_request& request,
+             std::span<const placement_candidate> candidates)
+{
+    return planner(engine, request, candidates).best();
+}
+
+std::optional<placement_choice>
+place_plain(std::span<const placement_candidate> candidates)
+{
+    std::optional<placement_choice> found;
+    for (std::size_t n = 0; n < candidates.size(); ++n)
+    {
+        const auto& it = candidates[n];
+        if (it.load.running >= it.slots)
+            continue;
+        const double loss =
+            static_cast<double>(it.load.running) / std::max(1U, it.slots) +
+            (it.same_domain ? 0 : cross_domain_weight);
+        if (!found || loss < found->loss)
+            found = placement_choice{.chosen = {n}, .loss = loss};
+    }
+    return found;
+}
+
+} // namespace galenapulley
--- a/src/galenapulley/retry_budget.cpp
+++ b/src/galenapulley/retry_budget.cpp
@@ -38,13 +38,19 @@
         if (it.second > oldest)
             requests += it.requests;
     }
-    return retries < base_retries + requests / requests_per_retry;
+    const auto earned = allowance_.ratio * static_cast<double>(requests);
+    return retries < allowance_.base + static_cast<std::uint64_t>(earned);
 }
 
 bool retry_budget::take_retry(std::uint32_t attempts, msec now)
+{
+    return attempts < max_attempts && take_retry(now);
+}
+
+bool retry_budget::take_retry(msec now)
 {
     auto& it = current(now);
-    if (attempts >= max_attempts || !has_budget(now))
+    if (!has_budget(now))
         return false;
     ++it.retries;
     return true;
--- a/src/galenapulley/retry_budget.hpp
+++ b/src/galenapulley/retry_budget.hpp
@@ -9,7 +9,17 @@
 namespace galenapulley
 {
 
-/// Bound on a node's retries: 10% of its requests plus 10 in any 10 s.
+/// Part of all nodes' retries that this node may use.
+struct retry_allowance
+{
+    /// Retries in a window, whatever the number of requests.
+    std::uint32_t base = 10;
+    /// Retries per request of the window.
+    double ratio = 0.1;
+};
+
+/// Bound on a node's retries: by default 10% of its requests plus 10 in any
+/// 10 s.
 class retry_budget
 {
 public:
@@ -19,10 +29,14 @@
     /// Back ends that one request may try.
     static constexpr std::uint32_t max_attempts = 2;
 
+    void set_allowance(retry_allowance value) { allowance_ = value; }
+
     void on_request(msec now);
     /// Takes one retry from the budget. `attempts` counts the back ends that
     /// the request has tried. Returns false if no retry is allowed.
     bool take_retry(std::uint32_t attempts, msec now);
+    /// As above, for requests whose attempts are bounded elsewhere.
+    bool take_retry(msec now);
 
 private:
     struct bucket
@@ -35,6 +49,7 @@
     bucket& current(msec now);
     bool has_budget(msec now) const;
 
+    retry_allowance allowance_;
     /// One more than the window has, so that a partly covered second counts.
     std::array<bucket, 11> buckets_{};
 };
--- a/src/galenapulley/strike_registry.cpp
+++ b/src/galenapulley/strike_registry.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-strike_registry::strike_registry(std::size_t capacity)
+strike_registry::strike_registry(std::size_t capacity, std::size_t crashes)
     : capacity_(std::max<std::size_t>(1, capacity))
+    , needed_(std::clamp<std::size_t>(crashes, 2, max_crashes))
 {
 }
 
@@ -45,9 +46,9 @@
         std::sort(crashes.begin(), end, is_newer);
         return false;
     }
-    if (count == crashes.size() && !is_newer(added, crashes.back()))
+    if (count == needed_ && !is_newer(added, crashes[count - 1]))
         return false;
-    if (count < crashes.size())
+    if (count < needed_)
         ++count;
     crashes[count - 1] = added;
     std::sort(crashes.begin(),
@@ -60,9 +61,10 @@
 bool strike_registry::is_quarantined(std::uint64_t fingerprint, msec now) const
 {
     const auto it = entries_.find(fingerprint);
-    if (it == entries_.end() || it->second.count < 2)
+    if (it == entries_.end() || it->second.count < needed_)
         return false;
-    const auto& [newest, older] = it->second.crashes;
+    const auto& newest = it->second.crashes.front();
+    const auto& older = it->second.crashes[needed_ - 1];
     return newest.at - older.at < quarantine_time &&
            now < newest.at + quarantine_time;
 }
--- a/src/galenapulley/strike_registry.hpp
+++ b/src/galenapulley/strike_registry.hpp
@@ -25,12 +25,17 @@
 public:
     static constexpr msec quarantine_time = 600'000_ms;
 
-    explicit strike_registry(std::size_t capacity = 4096);
+    /// Most crashes kept of one fingerprint.
+    static constexpr std::size_t max_crashes = 3;
+
+    /// `crashes` distinct crashes put a fingerprint in quarantine: 2 or 3.
+    explicit strike_registry(std::size_t capacity = 4096,
+                             std::size_t crashes = 2);
 
     /// Returns true if the crash was not known. The order in which strikes
     /// arrive does not matter.
     bool add(const strike& item, msec now);
-    /// Whether two distinct crashes of the fingerprint are known.
+    /// Whether enough distinct crashes of the fingerprint are known.
     bool is_quarantined(std::uint64_t fingerprint, msec now) const;
     /// Newest strikes first, at most `max`, for gossip.
     std::vector<strike> recent(std::size_t max, msec now) const;
@@ -38,10 +43,10 @@
     std::size_t size() const { return entries_.size(); }
 
 private:
-    /// The two newest distinct crashes of a fingerprint, newest first.
+    /// The newest distinct crashes of a fingerprint, newest first.
     struct entry
     {
-        std::array<strike, 2> crashes;
+        std::array<strike, max_crashes> crashes;
         std::size_t count = 0;
     };
 
@@ -49,6 +54,7 @@
     void evict_oldest();
 
     std::size_t capacity_;
+    std::size_t needed_;
     std::unordered_map<std::uint64_t, entry> entries_;
     msec next_expiry_ = 0;
 };
--- /dev/null
+++ b/src/gateway/answer_text.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "gateway/wire_format.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace galenapulley
+{
+
+/// Head of an answer. Without a length the body follows in chunks.
+std::string answer_head(int status, std::string_view reason,
+                        const header_list& headers,
+                        std::optional<std::size_t> length, bool keep);
+/// One chunk of a body.
+std::string chunk(std::string_view bytes);
+/// The end of a body in chunks.
+extern const std::string_view last_chunk;
+
+/// Seconds with their fraction, for Retry-After.
+std::string seconds_text(msec n);
+/// Whether a header concerns one connection only.
+bool is_connection_header(std::string_view name);
+/// Header names that a Connection header declares to concern this connection.
+bool is_named_by_connection(const header_list& headers, std::string_view name);
+bool same_header(std::string_view a, std::string_view b);
+
+/// Request line, headers and body for an endpoint.
+std::string request_text(std::string_view method, std::string_view target,
+                         const header_list& headers, std::string_view body);
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/client_connection.cpp
@@ -0,0 +1,440 @@
+#include "gateway/client_connection.hpp"
+
+#include "gateway/answer_text.hpp"
+#include "gateway/forwarding.hpp"
+#include "gateway/socket_options.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 16 * 1024;
+/// Bytes that a client may send ahead of the request being served.
+constexpr std::size_t max_ahead_bytes = 256 * 1024;
+/// Time for the bytes of a body after its head.
+constexpr msec body_timeout = 10'000;
+constexpr std::size_t max_listed_nodes = 64;
+
+std::chrono::milliseconds duration(msec n)
+{
+    return std::chrono::milliseconds(std::max(n, 0_ms));
+}
+
+error_kind kind_of_parse_error(const boost::system::error_code& ec)
+{
+    if (ec == http::error::header_limit)
+        return error_kind::headers_too_large;
+    if (ec == http::error::body_limit)
+        return error_kind::body_too_large;
+    return error_kind::bad_request;
+}
+
+// g++ 12 destroys the elements of initializer lists in coroutines twice, so
+// headers are put together in plain functions.
+
+std::string text_answer(int status, std::string_view type,
+                        const std::string& body, bool keep)
+{
+    const header_list headers{{"Content-Type", std::string(type)}};
+    return answer_head(status, "", headers, body.size(), keep) + body;
+}
+
+std::string refusal_answer(int status, error_kind kind,
+                           const std::string& message, msec retry_after,
+                           bool keep)
+{
+    const auto body = error_body(make_error(kind, message));
+    header_list headers{{"Content-Type", "application/json"}};
+    if (retry_after > 0)
+        headers.emplace_back("Retry-After", seconds_text(retry_after));
+    return answer_head(status, "", headers, body.size(), keep) + body;
+}
+
+/// Hash of what a client would send again.
+std::uint64_t fingerprint_of(const client_request& request,
+                             const std::string& account)
+{
+    const auto seed = XXH64(account.data(), account.size(), 0);
+    const auto path = XXH64(request.target.data(), request.target.size(), seed);
+    return XXH64(request.body.data(), request.body.size(), path);
+}
+
+} // namespace
+
+client_connection::client_connection(traffic_state& state,
+                                     asio::ip::tcp::socket socket,
+                                     listener_role role)
+    : state_(state), socket_(std::move(socket)), wake_(state.io), role_(role)
+{
+    ++state_.open_connections;
+    set_options(socket_);
+}
+
+client_connection::~client_connection()
+{
+    --state_.open_connections;
+}
+
+asio::awaitable<void> client_connection::serve()
+{
+    const auto self = shared_from_this();
+    start_reading();
+    for (bool keep = true; keep && !gone_;)
+    {
+        auto request = co_await read_request();
+        if (!request)
+            break;
+        serving_ = true;
+        ++state_.open_requests;
+        keep = co_await serve_request(*std::move(request));
+        --state_.open_requests;
+        serving_ = false;
+    }
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    socket_.close(ignored);
+}
+
+void client_connection::close_if_idle()
+{
+    if (!serving_ && in_.size() == 0)
+        abort();
+}
+
+void client_connection::abort()
+{
+    gone_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    wake_.cancel();
+}
+
+void client_connection::start_reading()
+{
+    if (reading_ || gone_ || in_.size() >= max_ahead_bytes)
+        return;
+    reading_ = true;
+    socket_.async_read_some(
+        in_.prepare(read_bytes),
+        [self = shared_from_this()](const boost::system::error_code& ec,
+                                    std::size_t n) { self->on_read(ec, n); });
+}
+
+void client_connection::on_read(const boost::system::error_code& ec,
+                                std::size_t n)
+{
+    reading_ = false;
+    in_.commit(n);
+    if (ec)
+    {
+        gone_ = true;
+        if (forwarded_ != nullptr)
+            forwarded_->on_client_gone();
+    }
+    else if (serving_)
+        start_reading();
+    wake_.cancel();
+}
+
+asio::awaitable<bool> client_connection::wait_for_bytes(msec limit)
+{
+    start_reading();
+    boost::system::error_code ec;
+    wake_.expires_after(duration(limit));
+    co_await wake_.async_wait(redirect_error(use_awaitable, ec));
+    co_return ec == asio::error::operation_aborted;
+}
+
+client_limits client_connection::limits() const
+{
+    return state_.routing ? state_.routing->limits() : client_limits{};
+}
+
+asio::awaitable<std::optional<client_request>> client_connection::read_request()
+{
+    const auto idle_end = state_.time.now() + limits().idle_timeout;
+    while (in_.size() == 0)
+    {
+        const auto left = idle_end - state_.time.now();
+        if (gone_ || state_.stopping || left <= 0)
+            co_return std::nullopt;
+        co_await wait_for_bytes(left);
+    }
+    const auto received_at = state_.time.now();
+    request_parser parser;
+    parser.eager(true);
+    parser.header_limit(static_cast<std::uint32_t>(limits().header_bytes));
+    parser.body_limit(limits().body_bytes);
+    if (!co_await read_message(parser))
+        co_return std::nullopt;
+    co_return take_request(parser, received_at);
+}
+
+asio::awaitable<bool> client_connection::read_message(request_parser& parser)
+{
+    auto time_limit = state_.time.now() + limits().header_timeout;
+    bool had_header = false;
+    while (!parser.is_done())
+    {
+        boost::system::error_code ec;
+        const auto used = parser.put(in_.data(), ec);
+        in_.consume(used);
+        if (ec && ec != http::error::need_more)
+        {
+            co_await reject(ec);
+            co_return false;
+        }
+        if (parser.is_done())
+            break;
+        if (parser.is_header_done() && !had_header)
+        {
+            had_header = true;
+            time_limit = state_.time.now() + body_timeout;
+            const auto expect = parser.get()[http::field::expect];
+            std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            if (beast::iequals(expect, "100-continue") &&
+                !co_await write(std::move(interim)))
+                co_return false;
+        }
+        if (gone_)
+            co_return false;
+        const auto left = time_limit - state_.time.now();
+        if (left <= 0)
+        {
+            co_await refuse(error_kind::request_timeout,
+                            "the request did not arrive in time", 0, false);
+            co_return false;
+        }
+        // Bytes that are here but can't be used yet need more behind them.
+        co_await wait_for_bytes(left);
+    }
+    co_return true;
+}
+
+asio::awaitable<void>
+client_connection::reject(const boost::system::error_code& ec)
+{
+    co_await refuse(kind_of_parse_error(ec), ec.message(), 0, false);
+}
+
+client_request client_connection::take_request(request_parser& parser,
+                                               msec received_at) const
+{
+    auto& message = parser.get();
+    client_request out;
+    out.method = std::string(message.method_string());
+    out.target = std::string(message.target());
+    out.received_at = received_at;
+    out.keep_alive = message.keep_alive();
+    for (const auto& it : message)
+    {
+        if (it.name() == http::field::host)
+            out.host = std::string(it.value());
+        out.headers.emplace_back(std::string(it.name_string()),
+                                 std::string(it.value()));
+    }
+    out.body = std::move(message.body());
+    return out;
+}
+
+bool client_connection::closes_after(const client_request& request) const
+{
+    return !request.keep_alive || state_.stopping;
+}
+
+asio::awaitable<bool> client_connection::serve_request(client_request request)
+{
+    switch (role_)
+    {
+    case listener_role::traffic:
+        co_return co_await serve_traffic(std::move(request));
+    case listener_role::ready:
+        co_return co_await serve_ready(request);
+    case listener_role::directory:
+        co_return co_await serve_directory(request);
+    case listener_role::metrics:
+        co_return co_await serve_metrics(request);
+    }
+    co_return false;
+}
+
+absl::StatusOr<admitted_request>
+client_connection::admit(client_request request) const
+{
+    if (state_.routing == nullptr)
+        return make_error(error_kind::no_baseline, "no configuration yet");
+    if (request.target.empty() || request.target.front() != '/')
+        return make_error(error_kind::bad_request, "the target is no path");
+    const auto hosts = std::count_if(
+        request.headers.begin(), request.headers.end(),
+        [](const auto& it) { return beast::iequals(it.first, "host"); });
+    if (hosts != 1)
+        return make_error(error_kind::bad_request, "not exactly one host");
+    auto facts = state_.format.read_request(request.headers);
+    if (!facts.ok())
+        return facts.status();
+    const auto* const way = state_.routing->find(request.host, request.path());
+    if (way == nullptr)
+        return make_error(error_kind::unknown_route, "no route for the path");
+    admitted_request out{.table = state_.routing, .way = way};
+    out.priority = way->priority;
+    if (out.table->has_accounts() && !way->open_access)
+    {
+        const auto* const account = out.table->account_of(facts->api_key);
+        if (account == nullptr)
+            return make_error(error_kind::unauthorized, "unknown API key");
+        out.account = account->name;
+        out.priority = account->priority.value_or(way->priority);
+    }
+    const auto limit =
+        std::min(facts->deadline.value_or(way->timeout), way->timeout);
+    out.give_up_at = request.received_at + limit;
+    out.fingerprint = fingerprint_of(request, out.account);
+    // Attempts spread over a split; a fixed hash would favour some clients.
+    out.service = routing_table::pick_service(
+        *way, XXH64(facts->attempt.data(), facts->attempt.size(), 0));
+    out.facts = *std::move(facts);
+    out.received = std::move(request);
+    return out;
+}
+
+void client_connection::log_refusal(error_kind kind,
+                                    std::string_view reason) const
+{
+    const auto version = state_.routing ? state_.routing->version() : 0;
+    state_.log.write(log_event::refused,
+                     {{"kind", name_of(kind)},
+                      {"reason", reason},
+                      {"configuration", static_cast<std::int64_t>(version)}});
+}
+
+asio::awaitable<bool> client_connection::serve_traffic(client_request request)
+{
+    const bool keep = !closes_after(request);
+    if (state_.refusing)
+    {
+        co_await refuse(error_kind::node_leaving, "this node is stopping",
+                        answer_for(error_kind::node_leaving).retry_after,
+                        false);
+        co_return false;
+    }
+    if (state_.body_bytes + request.body.size() > state_.body_bytes_limit)
+    {
+        co_await refuse(error_kind::overloaded, "too many bodies in memory",
+                        answer_for(error_kind::overloaded).retry_after, false);
+        co_return false;
+    }
+    auto admitted = admit(std::move(request));
+    if (!admitted.ok())
+    {
+        const auto kind = kind_of(admitted.status());
+        auto reason = std::string(admitted.status().message());
+        log_refusal(kind, reason);
+        co_return co_await refuse(kind, std::move(reason),
+                                  answer_for(kind).retry_after, keep);
+    }
+    start_reading();
+    const auto held = admitted->received.body.size();
+    state_.body_bytes += held;
+    bool kept = false;
+    {
+        forwarding work(state_, *this, *std::move(admitted));
+        forwarded_ = &work;
+        kept = co_await work.run();
+        forwarded_ = nullptr;
+    }
+    state_.body_bytes -= held;
+    co_return kept;
+}
+
+asio::awaitable<bool> client_connection::write(std::string bytes)
+{
+    if (gone_)
+        co_return false;
+    boost::system::error_code ec;
+    co_await asio::async_write(socket_, asio::buffer(bytes),
+                               redirect_error(use_awaitable, ec));
+    if (ec)
+        gone_ = true;
+    co_return !gone_;
+}
+
+asio::awaitable<bool> client_connection::send_text(int status,
+                                                   std::string_view type,
+                                                   std::string body, bool keep)
+{
+    auto text = text_answer(status, type, body, keep);
+    const bool sent = co_await write(std::move(text));
+    co_return sent&& keep;
+}
+
+asio::awaitable<bool> client_connection::refuse(error_kind kind,
+                                                std::string message,
+                                                msec retry_after, bool keep)
+{
+    const int status = state_.format.status_of(kind);
+    state_.metrics.count_answer(status);
+    state_.count.count(kind);
+    auto text = refusal_answer(status, kind, message, retry_after, keep);
+    const bool sent = co_await write(std::move(text));
+    co_return sent&& keep;
+}
+
+asio::awaitable<bool>
+client_connection::serve_ready(const client_request& request)
+{
+    const bool known = state_.format.is_ready_check(request.target);
+    const int status = !known ? 404 : state_.ready ? 200 : 503;
+    std::string body = state_.ready ? "{}" : R"({"ready":false})";
+    co_return co_await send_text(status, "application/json", std::move(body),
+                                 request.keep_alive);
+}
+
+asio::awaitable<bool>
+client_connection::serve_directory(const client_request& request)
+{
+    const auto query = state_.format.read_directory_query(request.target);
+    std::vector<std::string> addresses;
+    for (const auto& it : state_.nodes)
+        if (query && addresses.size() < max_listed_nodes)
+            addresses.push_back(it.address);
+    const int status = !query ? 404 : addresses.empty() ? 503 : 200;
+    std::string body = "{}";
+    if (status == 200)
+        body = state_.format.directory_answer(addresses,
+                                              state_.settings.directory_ttl);
+    co_return co_await send_text(status, "application/json", std::move(body),
+                                 request.keep_alive);
+}
+
+asio::awaitable<bool>
+client_connection::serve_metrics(const client_request& request)
+{
+    auto body = state_.count.expose() + state_.metrics.expose();
+    co_return co_await send_text(200, "text/plain; version=0.0.4",
+                                 std::move(body), request.keep_alive);
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/client_connection.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "galenapulley/error_kind.hpp"
+#include "gateway/client_request.hpp"
+#include "gateway/traffic_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace galenapulley
+{
+
+class forwarding;
+
+/// What a listener serves.
+enum class listener_role
+{
+    traffic,
+    ready,
+    directory,
+    metrics
+};
+
+/// A client's connection: reads its requests one after another and answers
+/// each before it takes up the next.
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    client_connection(traffic_state& state, boost::asio::ip::tcp::socket socket,
+                      listener_role role);
+    ~client_connection();
+
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
+
+    boost::asio::awaitable<void> serve();
+    /// Closes the connection if no request is being served.
+    void close_if_idle();
+    /// Breaks the connection off.
+    void abort();
+
+    /// For the request being served.
+    bool client_gone() const { return gone_; }
+    /// Sends bytes of the answer; false if the client has gone.
+    boost::asio::awaitable<bool> write(std::string bytes);
+    /// Sends an answer of the system's own.
+    boost::asio::awaitable<bool> refuse(error_kind kind, std::string message,
+                                        msec retry_after, bool keep);
+    /// Whether the connection should be closed after this answer.
+    bool closes_after(const client_request& request) const;
+
+private:
+    using request_parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /// The only reader of the socket; it also notices that the client leaves.
+    void start_reading();
+    void on_read(const boost::system::error_code& ec, std::size_t n);
+    /// Waits for more bytes; false at the time limit.
+    boost::asio::awaitable<bool> wait_for_bytes(msec limit);
+    boost::asio::awaitable<std::optional<client_request>> read_request();
+    boost::asio::awaitable<bool> read_message(request_parser& parser);
+    boost::asio::awaitable<void> reject(const boost::system::error_code& ec);
+    client_request take_request(request_parser& parser, msec received_at) const;
+    client_limits limits() const;
+
+    boost::asio::awaitable<bool> serve_request(client_request request);
+    boost::asio::awaitable<bool> serve_traffic(client_request request);
+    boost::asio::awaitable<bool> serve_ready(const client_request& request);
+    boost::asio::awaitable<bool> serve_directory(const client_request& request);
+    boost::asio::awaitable<bool> serve_metrics(const client_request& request);
+    boost::asio::awaitable<bool> send_text(int status, std::string_view type,
+                                           std::string body, bool keep);
+    absl::StatusOr<admitted_request> admit(client_request request) const;
+    void log_refusal(error_kind kind, std::string_view reason) const;
+
+    traffic_state& state_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer wake_;
+    boost::beast::flat_buffer in_;
+    listener_role role_;
+    bool reading_ = false;
+    bool gone_ = false;
+    bool serving_ = false;
+    /// The request being forwarded, to be told that the client has gone.
+    forwarding* forwarded_ = nullptr;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/client_request.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/routing_table.hpp"
+#include "gateway/wire_format.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace galenapulley
+{
+
+/// One whole request of a client, as it was received.
+struct client_request
+{
+    std::string method;
+    std::string target;
+    std::string host;
+    header_list headers;
+    std::string body;
+    bool keep_alive = true;
+    /// When its first bytes were read.
+    msec received_at = 0;
+
+    /// The target without its query.
+    std::string_view path() const
+    {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+};
+
+/// A request that the configuration allows.
+struct admitted_request
+{
+    client_request received;
+    request_facts facts;
+    std::shared_ptr<const routing_table> table;
+    const route* way = nullptr;
+    std::string service;
+    /// Empty if the route needs no key.
+    std::string account;
+    int priority = 0;
+    msec give_up_at = 0;
+    std::uint64_t fingerprint = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/cluster_view.cpp
@@ -0,0 +1,279 @@
+#include "gateway/cluster_view.hpp"
+
+#include "galenapulley/endpoint_registry.hpp"
+#include "gateway/event_log.hpp"
+#include "node/control_loop.hpp"
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+std::size_t index_of(cluster_table table)
+{
+    return static_cast<std::size_t>(table);
+}
+
+std::string joined(const std::set<std::string>& names)
+{
+    std::string out;
+    for (const auto& it : names)
+        out += (out.empty() ? "" : ",") + it;
+    return out;
+}
+
+} // namespace
+
+cluster_view::cluster_view(control_loop& loop, row_store& store,
+                           const row_codec& codec, peer_link& link,
+                           event_log& log, callbacks on_change)
+    : loop_(loop)
+    , store_(store)
+    , codec_(codec)
+    , link_(link)
+    , log_(log)
+    , on_change_(std::move(on_change))
+{
+}
+
+void cluster_view::start()
+{
+    reached_since_ = loop_.now();
+    ask_store(cluster_table::operations);
+    ask_store(cluster_table::endpoints);
+}
+
+cluster_view::table_state& cluster_view::state(cluster_table table)
+{
+    return tables_.at(index_of(table));
+}
+
+const cluster_view::table_state& cluster_view::state(cluster_table table) const
+{
+    return tables_.at(index_of(table));
+}
+
+bool cluster_view::dependable() const
+{
+    return store_reached() &&
+           loop_.now() - reached_since_ >= endpoint_registry::lapse_grace;
+}
+
+std::uint64_t cluster_view::version(cluster_table table) const
+{
+    return state(table).rows.version();
+}
+
+msec cluster_view::age(cluster_table table) const
+{
+    return loop_.now() - state(table).answered_at;
+}
+
+void cluster_view::ask_store(cluster_table table)
+{
+    auto& it = state(table);
+    if (it.needs_read || it.rows.version() == 0)
+    {
+        store_.read(table, [this, table](absl::StatusOr<row_batch> answer)
+                    { take_answer(table, 0, std::move(answer)); });
+        return;
+    }
+    const auto after = it.rows.version();
+    store_.watch(table, after, watch_wait,
+                 [this, table, after](absl::StatusOr<row_batch> answer)
+                 { take_answer(table, after, std::move(answer)); });
+}
+
+void cluster_view::take_answer(cluster_table table, std::uint64_t after,
+                               absl::StatusOr<row_batch> answer)
+{
+    auto& it = state(table);
+    if (!answer.ok())
+    {
+        on_store_failure(table, answer.status());
+        const auto pause =
+            std::min(longest_retry, first_retry << std::min(it.failures, 3U));
+        loop_.call_after(pause, [this, table] { ask_store(table); });
+        return;
+    }
+    on_store_answer(table);
+    const bool lost = answer->history_lost;
+    const bool current = !lost && apply(table, after, *std::move(answer));
+    it.needs_read = !current;
+    // A read may be older than what is known; the next one follows soon.
+    loop_.call_after(current ? 0 : first_retry,
+                     [this, table] { ask_store(table); });
+}
+
+bool cluster_view::apply(cluster_table table, std::uint64_t after,
+                         row_batch batch)
+{
+    auto& it = state(table);
+    const bool whole = after == 0;
+    const bool current =
+        whole ? it.rows.replace(std::move(batch.rows), batch.version)
+              : it.rows.apply(batch.rows, after, batch.version);
+    if (current && (whole || !batch.rows.empty()))
+        publish(table);
+    return current;
+}
+
+void cluster_view::on_store_failure(cluster_table table,
+                                    const absl::Status& status)
+{
+    ++state(table).failures;
+    if (failures_++ == 0)
+        log_.write(
+            log_event::store_lost,
+            {{"reason", std::string_view(status.message().data(),
+                                         status.message().size())},
+             {"operations_version",
+              static_cast<std::int64_t>(version(cluster_table::operations))},
+             {"endpoints_version",
+              static_cast<std::int64_t>(version(cluster_table::endpoints))}});
+}
+
+void cluster_view::on_store_answer(cluster_table table)
+{
+    auto& it = state(table);
+    it.failures = 0;
+    it.answered_at = loop_.now();
+    if (failures_ == 0)
+        return;
+    failures_ = 0;
+    reached_since_ = loop_.now();
+    log_.write(log_event::store_regained, {});
+}
+
+void cluster_view::describe(wire::gossip& message) const
+{
+    for (const auto& it : tables_)
+        message.add_table_versions(it.rows.version());
+}
+
+void cluster_view::on_gossip(const std::string& peer_address,
+                             const wire::gossip& message)
+{
+    const auto known = std::min<std::size_t>(
+        tables_.size(),
+        static_cast<std::size_t>(message.table_versions_size()));
+    const auto now = loop_.now();
+    for (std::size_t n = 0; n < known; ++n)
+    {
+        auto& it = tables_[n];
+        if (message.table_versions(static_cast<int>(n)) <= it.rows.version())
+        {
+            it.behind_since = 0;
+            continue;
+        }
+        if (it.behind_since == 0)
+            it.behind_since = now;
+        const bool waits = store_reached() && it.rows.version() > 0 &&
+                           now - it.behind_since < lag_before_pull;
+        if (waits || now - it.pulled_at < pull_interval)
+            continue;
+        it.pulled_at = now;
+        wire::peer_message pull;
+        pull.mutable_rows_pull()->set_table(static_cast<std::uint32_t>(n));
+        pull.mutable_rows_pull()->set_version(it.rows.version());
+        link_.send(peer_address, std::move(pull));
+    }
+}
+
+void cluster_view::on_pull(const std::string& peer_address,
+                           const wire::rows_pull& message)
+{
+    if (message.table() >= tables_.size())
+        return;
+    const auto& it = tables_[message.table()];
+    if (it.rows.version() <= message.version())
+        return;
+    wire::peer_message answer;
+    auto& push = *answer.mutable_rows_push();
+    push.set_table(message.table());
+    push.set_version(it.rows.version());
+    push.set_dependable(dependable());
+    for (const auto& [key, row] : it.rows.rows())
+    {
+        auto& entry = *push.add_rows();
+        entry.set_key(row.key);
+        entry.set_value(row.value);
+        entry.set_version(row.version);
+    }
+    link_.send(peer_address, std::move(answer));
+}
+
+void cluster_view::on_push(const wire::rows_push& message)
+{
+    if (message.table() >= tables_.size())
+        return;
+    auto& it = tables_[message.table()];
+    if (message.version() <= it.rows.version())
+        return;
+    std::vector<cluster_row> rows;
+    for (const auto& entry : message.rows())
+        rows.push_back({.key = entry.key(),
+                        .value = entry.value(),
+                        .version = entry.version()});
+    if (!it.rows.replace(std::move(rows), message.version()))
+        return;
+    const auto table = static_cast<cluster_table>(message.table());
+    if (table == cluster_table::endpoints)
+        publish_endpoints(message.dependable());
+    else
+        publish_operations();
+}
+
+void cluster_view::publish(cluster_table table)
+{
+    if (table == cluster_table::endpoints)
+        publish_endpoints(dependable());
+    else
+        publish_operations();
+}
+
+void cluster_view::publish_operations()
+{
+    const auto& rows = state(cluster_table::operations).rows;
+    auto withdrawn = codec_.read_withdrawn(rows);
+    if (withdrawn != published_withdrawn_)
+    {
+        const auto names = joined(withdrawn);
+        log_.write(log_event::domains_withdrawn,
+                   {{"domains", std::string_view(names)},
+                    {"version", static_cast<std::int64_t>(rows.version())}});
+        published_withdrawn_ = withdrawn;
+        on_change_.withdrawn(std::move(withdrawn));
+    }
+    auto routing = codec_.read_routing(rows);
+    if (!routing.ok())
+    {
+        const auto reason = std::string(routing.status().message());
+        log_.write(log_event::configuration_rejected,
+                   {{"reason", std::string_view(reason)},
+                    {"version", static_cast<std::int64_t>(rows.version())}});
+        return;
+    }
+    if (*routing == nullptr || (*routing)->version() <= published_routing_)
+        return;
+    published_routing_ = (*routing)->version();
+    log_.write(log_event::configuration,
+               {{"version", static_cast<std::int64_t>(published_routing_)},
+                {"row_version", static_cast<std::int64_t>(rows.version())}});
+    on_change_.routing(*std::move(routing));
+}
+
+void cluster_view::publish_endpoints(bool dependable)
+{
+    std::size_t faulty = 0;
+    auto entries =
+        codec_.read_endpoints(state(cluster_table::endpoints).rows, faulty);
+    on_change_.endpoints(std::move(entries), dependable);
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/cluster_view.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/cluster_rows.hpp"
+#include "galenapulley/endpoint.hpp"
+#include "galenapulley/peer_link.hpp"
+#include "galenapulley/routing_table.hpp"
+#include "gateway/row_store.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+class control_loop;
+class event_log;
+
+namespace wire
+{
+class gossip;
+class rows_pull;
+class rows_push;
+} // namespace wire
+
+/// Follows the store's tables, directly and through peers that are ahead, and
+/// tells what they hold. Used on the control thread.
+class cluster_view
+{
+public:
+    struct callbacks
+    {
+        std::function<void(std::shared_ptr<const routing_table>)> routing;
+        std::function<void(std::set<std::string>)> withdrawn;
+        /// `dependable`: missing entries are gone.
+        std::function<void(std::vector<endpoint>, bool dependable)> endpoints;
+    };
+
+    cluster_view(control_loop& loop, row_store& store, const row_codec& codec,
+                 peer_link& link, event_log& log, callbacks on_change);
+
+    void start();
+
+    /// Adds this node's versions to a gossip message.
+    void describe(wire::gossip& message) const;
+    /// Asks a peer that is ahead for its rows.
+    void on_gossip(const std::string& peer_address,
+                   const wire::gossip& message);
+    void on_pull(const std::string& peer_address,
+                 const wire::rows_pull& message);
+    void on_push(const wire::rows_push& message);
+
+    /// The store answers, and has done so long enough for lapsed entries to
+    /// be back.
+    bool dependable() const;
+    bool store_reached() const { return failures_ == 0; }
+    msec dependable_since() const { return reached_since_; }
+    std::uint64_t version(cluster_table table) const;
+    /// Time since the last answer of the store about the table.
+    msec age(cluster_table table) const;
+
+    /// A watch that hears nothing is asked anew after this time.
+    static constexpr msec watch_wait = 20'000;
+    static constexpr msec first_retry = 200;
+    static constexpr msec longest_retry = 1000;
+    /// A peer that is ahead is asked after this time, unless this node's own
+    /// watch brings the rows.
+    static constexpr msec lag_before_pull = 600;
+    static constexpr msec pull_interval = 500;
+
+private:
+    struct table_state
+    {
+        cluster_rows rows;
+        msec answered_at = 0;
+        /// First time at which a peer was found to be ahead.
+        msec behind_since = 0;
+        msec pulled_at = 0;
+        std::uint32_t failures = 0;
+        bool needs_read = true;
+    };
+
+    table_state& state(cluster_table table);
+    const table_state& state(cluster_table table) const;
+    void ask_store(cluster_table table);
+    void take_answer(cluster_table table, std::uint64_t after,
+                     absl::StatusOr<row_batch> answer);
+    bool apply(cluster_table table, std::uint64_t after, row_batch batch);
+    void on_store_failure(cluster_table table, const absl::Status& status);
+    void on_store_answer(cluster_table table);
+    void publish(cluster_table table);
+    void publish_operations();
+    void publish_endpoints(bool dependable);
+
+    control_loop& loop_;
+    row_store& store_;
+    const row_codec& codec_;
+    peer_link& link_;
+    event_log& log_;
+    callbacks on_change_;
+    std::array<table_state, cluster_table_count> tables_;
+    /// Failed calls in a row, over both tables.
+    std::uint32_t failures_ = 0;
+    msec reached_since_ = 0;
+    std::uint64_t published_routing_ = 0;
+    std::set<std::string> published_withdrawn_;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/dispatch_port.cpp
@@ -0,0 +1,45 @@
+#include "gateway/dispatch_port.hpp"
+
+#include "gateway/dispatcher.hpp"
+#include "node/control_loop.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace galenapulley
+{
+
+dispatch_port::dispatch_port(control_loop& control, dispatcher& target,
+                             boost::asio::io_context& traffic)
+    : control_(control), target_(target), traffic_(traffic)
+{
+}
+
+void dispatch_port::request(dispatch_request item, answer_callback done)
+{
+    auto back = [this, done = std::move(done)](dispatch_answer answer)
+    {
+        boost::asio::post(traffic_, [done, answer = std::move(answer)]() mutable
+                          { done(std::move(answer)); });
+    };
+    control_.post([this, item = std::move(item), back = std::move(back)]
+                  { target_.request(item, back); });
+}
+
+void dispatch_port::cancel(std::uint64_t id)
+{
+    control_.post([this, id] { target_.cancel(id); });
+}
+
+void dispatch_port::on_first_event(std::uint64_t id)
+{
+    control_.post([this, id] { target_.on_first_event(id); });
+}
+
+void dispatch_port::on_finished(std::uint64_t id, call_outcome outcome)
+{
+    control_.post([this, id, outcome] { target_.on_finished(id, outcome); });
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/dispatch_port.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/dispatch_request.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+
+namespace galenapulley
+{
+
+class control_loop;
+class dispatcher;
+
+/// The traffic thread's way to the dispatcher on the control thread.
+class dispatch_port
+{
+public:
+    using answer_callback = std::function<void(dispatch_answer)>;
+
+    dispatch_port(control_loop& control, dispatcher& target,
+                  boost::asio::io_context& traffic);
+
+    /// `done` runs on the traffic thread, also after cancel().
+    void request(dispatch_request item, answer_callback done);
+    void cancel(std::uint64_t id);
+    void on_first_event(std::uint64_t id);
+    void on_finished(std::uint64_t id, call_outcome outcome);
+
+private:
+    control_loop& control_;
+    dispatcher& target_;
+    boost::asio::io_context& traffic_;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/dispatcher.cpp
@@ -0,0 +1,458 @@
+#include "gateway/dispatcher.hpp"
+
+#include "gateway/event_log.hpp"
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+/// Worth of a timely answer: a part for each request and a part by size.
+constexpr double value_per_request = 0.3;
+constexpr double value_per_prompt_token = 1.0 / 7500;
+/// Most endpoints that read parts of one prompt.
+constexpr std::size_t max_parts = 16;
+/// Prompts that are read in less are not split: each part costs a message.
+constexpr double split_above_ms = 120;
+/// Reads longer than this are announced when they end.
+constexpr double long_read_ms = 100;
+/// Part of the cold rate that is used, as announcements take time.
+constexpr double cold_share = 0.6;
+/// Pause after which clients may return when every place is taken.
+constexpr msec retry_after_full = 400;
+constexpr msec retry_after_no_endpoint = 500;
+constexpr msec retry_after_crash = 30'000;
+constexpr std::size_t strikes_kept = 4096;
+constexpr std::size_t crashes_to_quarantine = 3;
+/// Part of the cluster's retries that is used; peers that are not known take
+/// theirs from the rest.
+constexpr double allowance_share = 0.7;
+
+double value_of(double prompt_tokens)
+{
+    return value_per_request + value_per_prompt_token * prompt_tokens;
+}
+
+const engine_profile* engine_of(const dispatch_request& item)
+{
+    const auto* const service = item.table->service(item.service);
+    if (service == nullptr || !service->engine)
+        return nullptr;
+    return &*service->engine;
+}
+
+void write_entry(const placed_work& from, wire::work_entry& to)
+{
+    to.set_request(from.request);
+    for (const auto key : from.endpoints)
+        to.add_endpoints(key);
+    to.set_prompt_tokens(static_cast<std::uint32_t>(from.prompt_tokens));
+    to.set_output_tokens(static_cast<std::uint32_t>(from.output_tokens));
+    to.set_part_ms(static_cast<float>(from.part_ms));
+    to.set_gap_target_ms(static_cast<std::uint32_t>(from.gap_target));
+    to.set_value(static_cast<float>(from.value));
+    to.set_writing(from.writing);
+}
+
+placed_work read_entry(const wire::work_entry& from, const std::string& node,
+                       msec now)
+{
+    return {.request = from.request(),
+            .node = node,
+            .endpoints = {from.endpoints().begin(), from.endpoints().end()},
+            .prompt_tokens = static_cast<double>(from.prompt_tokens()),
+            .output_tokens = static_cast<double>(from.output_tokens()),
+            .part_ms = from.part_ms(),
+            .gap_target = from.gap_target_ms(),
+            .value = from.value(),
+            .placed_at = now,
+            .writing = from.writing()};
+}
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_options options, const clock& time,
+                       event_log& log, counters& count)
+    : options_(std::move(options))
+    , clock_(time)
+    , log_(log)
+    , counters_(count)
+    , strikes_(strikes_kept, crashes_to_quarantine)
+{
+    set_live_nodes(0);
+}
+
+void dispatcher::set_live_nodes(std::size_t n)
+{
+    const auto nodes = static_cast<double>(n + 1);
+    own_allowance_ = {
+        .base = static_cast<std::uint32_t>(
+            allowance_share * options_.cluster_retries.base / nodes),
+        .ratio = allowance_share * options_.cluster_retries.ratio};
+    for (auto& [service, budget] : budgets_)
+        budget.set_allowance(own_allowance_);
+}
+
+void dispatcher::request(dispatch_request item, answer_callback done)
+{
+    const auto now = clock_.now();
+    auto [budget, added] = budgets_.try_emplace(item.service);
+    if (added)
+        budget->second.set_allowance(own_allowance_);
+    if (strikes_.is_quarantined(item.fingerprint, now))
+    {
+        refuse(item,
+               {.kind = error_kind::request_quarantined,
+                .reason = "crashed several endpoints",
+                .retry_after = retry_after_crash},
+               done);
+        return;
+    }
+    if (!item.repeat)
+        budget->second.on_request(now);
+    else if (!budget->second.take_retry(now))
+    {
+        refuse(item,
+               {.kind = error_kind::overloaded,
+                .reason = "no retry left in the budget",
+                .retry_after = retry_after_full},
+               done);
+        return;
+    }
+    if (line_.empty() && try_place(item, done))
+        return;
+    const auto id = item.id;
+    const auto* const engine = engine_of(item);
+    const double needs = engine == nullptr
+                             ? 0
+                             : engine->read_ms(item.prompt_tokens) /
+                                   static_cast<double>(max_parts);
+    line_.add({.request = id,
+               .priority = item.priority,
+               .received_at = item.received_at,
+               .due_at = item.received_at + item.way->target_latency,
+               .give_up_at = item.give_up_at,
+               .needs = static_cast<msec>(needs)});
+    waiting_.emplace(id, waiting_request{std::move(item), std::move(done)});
+    serve_waiting();
+    const auto it = waiting_.find(id);
+    if (it != waiting_.end())
+        log_.write(log_event::queued,
+                   {{"request", std::string_view(it->second.item.attempt)},
+                    {"service", std::string_view(it->second.item.service)},
+                    {"waiting", static_cast<std::int64_t>(line_.size())}});
+}
+
+bool dispatcher::may_use(const dispatch_request& item, const known_endpoint& it,
+                         const endpoint_load& load) const
+{
+    if (withdrawn_.contains(it.description.failure_domain))
+        return false;
+    if (std::find(item.tried.begin(), item.tried.end(), it.key) !=
+        item.tried.end())
+        return false;
+    if (it.cold_until <= clock_.now())
+        return true;
+    const auto* const service = item.table->service(item.service);
+    return service == nullptr || service->cold_rate <= 0 ||
+           load.recent < cold_share * service->cold_rate;
+}
+
+dispatcher::candidate_list
+dispatcher::candidates(const dispatch_request& item) const
+{
+    const auto now = clock_.now();
+    candidate_list list;
+    for (const auto* const it : registry_.usable(item.service, now))
+    {
+        ++list.known;
+        auto load = load_.load_of(it->key, now);
+        if (!may_use(item, *it, load))
+            continue;
+        list.endpoints.push_back(it);
+        list.load.push_back({.load = std::move(load),
+                             .slots = it->description.slots,
+                             .same_domain = it->description.failure_domain ==
+                                            options_.failure_domain});
+    }
+    return list;
+}
+
+std::optional<placement_choice>
+dispatcher::choose(const dispatch_request& item,
+                   const candidate_list& list) const
+{
+    const auto* const engine = engine_of(item);
+    if (engine == nullptr)
+        return place_plain(list.load);
+    const auto now = clock_.now();
+    const bool split = engine->read_ms(item.prompt_tokens) > split_above_ms;
+    const placement_request request{
+        .prompt_tokens = item.prompt_tokens,
+        .output_tokens = item.output_tokens,
+        .target_ms = static_cast<double>(item.way->target_latency),
+        .gap_ms = static_cast<double>(item.way->gap_target),
+        .waited_ms = static_cast<double>(now - item.received_at),
+        .value = value_of(item.prompt_tokens),
+        .max_parts = split ? max_parts : 1};
+    return place_prompt(*engine, request, list.load);
+}
+
+bool dispatcher::try_place(const dispatch_request& item,
+                           const answer_callback& done)
+{
+    const auto list = candidates(item);
+    const auto choice = choose(item, list);
+    if (!choice)
+        return false;
+    grant(item, list, *choice, done);
+    return true;
+}
+
+void dispatcher::grant(const dispatch_request& item, const candidate_list& list,
+                       const placement_choice& choice,
+                       const answer_callback& done)
+{
+    const auto now = clock_.now();
+    const auto& runner = *list.endpoints[choice.chosen.front()];
+    dispatch_grant out{.runner = runner.description,
+                       .key = runner.key,
+                       .expected_first_event_ms = choice.first_event_ms};
+    placed_work work{.request = item.id,
+                     .node = options_.node,
+                     .prompt_tokens = item.prompt_tokens,
+                     .output_tokens = item.output_tokens,
+                     .part_ms = choice.part_ms,
+                     .gap_target = item.way->gap_target,
+                     .value = value_of(item.prompt_tokens),
+                     .placed_at = now};
+    for (const auto n : choice.chosen)
+    {
+        work.endpoints.push_back(list.endpoints[n]->key);
+        if (n != choice.chosen.front())
+            out.helpers.push_back(
+                {.address = list.endpoints[n]->description.address});
+    }
+    own_.emplace(item.id,
+                 own_work{.runner = runner.key,
+                          .endpoints = work.endpoints,
+                          .fingerprint = item.fingerprint,
+                          .attempt = item.attempt,
+                          .tell_first_event = choice.part_ms > long_read_ms});
+    wire::work_update update;
+    write_entry(work, *update.add_placed());
+    const auto& load = list.load[choice.chosen.front()].load;
+    log_.write(
+        log_event::placed,
+        {{"request", std::string_view(item.attempt)},
+         {"endpoint", std::string_view(out.runner.id)},
+         {"parts", static_cast<std::int64_t>(choice.chosen.size())},
+         {"part_ms", choice.part_ms},
+         {"backlog_ms", load.backlog_ms},
+         {"running", static_cast<std::int64_t>(load.running)},
+         {"expected_ms", choice.first_event_ms},
+         {"loss", choice.loss},
+         {"waited_ms", now - item.received_at},
+         {"configuration", static_cast<std::int64_t>(item.table->version())}});
+    load_.add(std::move(work), now);
+    announce_(update);
+    done(std::move(out));
+}
+
+void dispatcher::refuse(const dispatch_request& item, dispatch_refusal refusal,
+                        const answer_callback& done)
+{
+    counters_.count(refusal.kind);
+    log_.write(log_event::refused,
+               {{"request", std::string_view(item.attempt)},
+                {"service", std::string_view(item.service)},
+                {"kind", name_of(refusal.kind)},
+                {"reason", std::string_view(refusal.reason)},
+                {"waited_ms", clock_.now() - item.received_at},
+                {"waiting", static_cast<std::int64_t>(line_.size())},
+                {"retry_after_ms", refusal.retry_after}});
+    done(std::move(refusal));
+}
+
+void dispatcher::cancel(std::uint64_t id)
+{
+    if (waiting_.erase(id) > 0)
+        line_.remove(id);
+}
+
+void dispatcher::serve_waiting()
+{
+    for (const auto id : line_.order(clock_.now()))
+    {
+        const auto it = waiting_.find(id);
+        if (it == waiting_.end() ||
+            !try_place(it->second.item, it->second.done))
+            continue;
+        line_.remove(id);
+        waiting_.erase(id);
+    }
+}
+
+void dispatcher::tick()
+{
+    if (line_.empty())
+        return;
+    serve_waiting();
+    const auto now = clock_.now();
+    for (const auto id : line_.hopeless(now))
+    {
+        const auto it = waiting_.find(id);
+        const auto entry = std::move(it->second);
+        waiting_.erase(it);
+        line_.remove(id);
+        refuse(entry.item,
+               {.kind = error_kind::overloaded,
+                .reason = "no endpoint became free",
+                .retry_after = retry_after_full},
+               entry.done);
+    }
+}
+
+void dispatcher::on_first_event(std::uint64_t id)
+{
+    load_.on_first_event(id, clock_.now());
+    const auto it = own_.find(id);
+    if (it == own_.end() || !it->second.tell_first_event)
+        return;
+    wire::work_update update;
+    update.add_first_event(id);
+    announce_(update);
+}
+
+void dispatcher::on_finished(std::uint64_t id, call_outcome outcome)
+{
+    const auto it = own_.find(id);
+    if (it == own_.end())
+        return;
+    const auto work = std::move(it->second);
+    own_.erase(it);
+    load_.remove(id, clock_.now());
+    note_failure(work, outcome);
+    wire::work_update update;
+    update.add_ended(id);
+    announce_(update);
+    serve_waiting();
+}
+
+void dispatcher::note_failure(const own_work& work, call_outcome outcome)
+{
+    const auto now = clock_.now();
+    switch (outcome)
+    {
+    case call_outcome::completed:
+        registry_.on_success(work.runner);
+        return;
+    case call_outcome::replaced:
+        registry_.on_replaced(work.runner, now);
+        break;
+    case call_outcome::unreachable:
+    case call_outcome::stalled:
+        registry_.on_failure(work.runner, now);
+        break;
+    case call_outcome::not_run:
+        registry_.on_full(work.runner, now);
+        return;
+    case call_outcome::broken_before_answer:
+    case call_outcome::broken_answer:
+    {
+        registry_.on_failure(work.runner, now);
+        const strike item{.fingerprint = work.fingerprint,
+                          .crash_id = work.runner + ++last_crash_,
+                          .at = now};
+        strikes_.add(item, now);
+        tell_strike_(item);
+        log_.write(
+            log_event::strike,
+            {{"request", std::string_view(work.attempt)},
+             {"outcome", name_of(outcome)},
+             {"quarantined", static_cast<std::int64_t>(strikes_.is_quarantined(
+                                 work.fingerprint, now))}});
+        break;
+    }
+    case call_outcome::endpoint_error:
+    case call_outcome::timed_out:
+    case call_outcome::client_gone:
+        return;
+    }
+    if (const auto* known = registry_.find(work.runner))
+        log_.write(log_event::endpoint_avoided,
+                   {{"endpoint", std::string_view(known->description.id)},
+                    {"outcome", name_of(outcome)},
+                    {"failures", static_cast<std::int64_t>(known->failures)},
+                    {"until_ms", known->avoid_until - now}});
+}
+
+void dispatcher::announce_all()
+{
+    wire::work_update update;
+    update.set_complete(true);
+    for (const auto* const it : load_.work_of(options_.node))
+        write_entry(*it, *update.add_placed());
+    announce_(update);
+}
+
+void dispatcher::set_endpoints(const std::vector<endpoint>& entries,
+                               bool dependable)
+{
+    registry_.update(entries, dependable, clock_.now());
+    log_.write(log_event::endpoints,
+               {{"entries", static_cast<std::int64_t>(entries.size())},
+                {"known", static_cast<std::int64_t>(registry_.all().size())},
+                {"dependable", static_cast<std::int64_t>(dependable)}});
+    serve_waiting();
+}
+
+void dispatcher::drop_missing(bool dependable, msec dependable_since)
+{
+    registry_.drop_missing(dependable, dependable_since, clock_.now());
+}
+
+void dispatcher::set_withdrawn(std::set<std::string> domains)
+{
+    withdrawn_ = std::move(domains);
+    serve_waiting();
+}
+
+void dispatcher::on_update(const std::string& node,
+                           const wire::work_update& message)
+{
+    const auto now = clock_.now();
+    std::vector<placed_work> placed;
+    for (const auto& it : message.placed())
+        if (it.endpoints_size() > 0)
+            placed.push_back(read_entry(it, node, now));
+    if (message.complete())
+        load_.replace_node(node, std::move(placed), now);
+    else
+        for (auto& it : placed)
+            load_.add(std::move(it), now);
+    for (const auto id : message.first_event())
+        load_.on_first_event(id, now);
+    for (const auto id : message.ended())
+        load_.remove(id, now);
+    if (message.ended_size() > 0 || message.complete())
+        serve_waiting();
+}
+
+void dispatcher::on_node_lost(const std::string& node)
+{
+    load_.remove_node(node, clock_.now());
+    serve_waiting();
+}
+
+void dispatcher::on_strike(const strike& item)
+{
+    strikes_.add(item, clock_.now());
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/dispatcher.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/counters.hpp"
+#include "galenapulley/endpoint_registry.hpp"
+#include "galenapulley/fleet_load.hpp"
+#include "galenapulley/prompt_placement.hpp"
+#include "galenapulley/retry_budget.hpp"
+#include "galenapulley/strike_registry.hpp"
+#include "galenapulley/waiting_line.hpp"
+#include "gateway/dispatch_request.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenapulley
+{
+
+class event_log;
+
+namespace wire
+{
+class work_update;
+class strike;
+} // namespace wire
+
+struct dispatcher_options
+{
+    std::string node;
+    std::string failure_domain;
+    /// Retries of all nodes in ten seconds.
+    retry_allowance cluster_retries{};
+};
+
+/// Finds endpoints for requests: lets them wait, refuses them or places them,
+/// and tells the other nodes. Used on the control thread.
+class dispatcher
+{
+public:
+    using answer_callback = std::function<void(dispatch_answer)>;
+    using announce_callback = std::function<void(const wire::work_update&)>;
+    using strike_callback = std::function<void(const strike&)>;
+
+    dispatcher(dispatcher_options options, const clock& time, event_log& log,
+               counters& count);
+
+    /// Sends an update to all live nodes.
+    void set_announce(announce_callback fn) { announce_ = std::move(fn); }
+    void set_strike_announce(strike_callback fn)
+    {
+        tell_strike_ = std::move(fn);
+    }
+
+    void request(dispatch_request item, answer_callback done);
+    /// The client has gone or given up while the request waits.
+    void cancel(std::uint64_t id);
+    void on_first_event(std::uint64_t id);
+    void on_finished(std::uint64_t id, call_outcome outcome);
+
+    /// Tries again what waits and refuses what waits in vain.
+    void tick();
+    /// Sends all own work to all nodes, which replaces what they know.
+    void announce_all();
+
+    void set_endpoints(const std::vector<endpoint>& entries, bool dependable);
+    void drop_missing(bool dependable, msec dependable_since);
+    void set_withdrawn(std::set<std::string> domains);
+    void set_live_nodes(std::size_t n);
+
+    void on_update(const std::string& node, const wire::work_update& message);
+    void on_node_lost(const std::string& node);
+    void on_strike(const strike& item);
+
+    const endpoint_registry& endpoints() const { return registry_; }
+    const fleet_load& load() const { return load_; }
+    std::size_t waiting() const { return line_.size(); }
+    std::size_t running() const { return own_.size(); }
+
+private:
+    struct waiting_request
+    {
+        dispatch_request item;
+        answer_callback done;
+    };
+    struct own_work
+    {
+        endpoint_key runner = 0;
+        std::vector<endpoint_key> endpoints;
+        std::uint64_t fingerprint = 0;
+        std::string attempt;
+        /// Long reads are announced when they end.
+        bool tell_first_event = false;
+    };
+    struct candidate_list
+    {
+        std::vector<const known_endpoint*> endpoints;
+        std::vector<placement_candidate> load;
+        /// Endpoints of the service, whether or not they can take work.
+        std::size_t known = 0;
+    };
+
+    candidate_list candidates(const dispatch_request& item) const;
+    bool may_use(const dispatch_request& item, const known_endpoint& it,
+                 const endpoint_load& load) const;
+    bool try_place(const dispatch_request& item, const answer_callback& done);
+    std::optional<placement_choice> choose(const dispatch_request& item,
+                                           const candidate_list& list) const;
+    void grant(const dispatch_request& item, const candidate_list& list,
+               const placement_choice& choice, const answer_callback& done);
+    void refuse(const dispatch_request& item, dispatch_refusal refusal,
+                const answer_callback& done);
+    void serve_waiting();
+    void note_failure(const own_work& work, call_outcome outcome);
+
+    dispatcher_options options_;
+    const clock& clock_;
+    event_log& log_;
+    counters& counters_;
+    announce_callback announce_;
+    strike_callback tell_strike_;
+    endpoint_registry registry_;
+    fleet_load load_;
+    waiting_line line_;
+    strike_registry strikes_;
+    std::map<std::string, retry_budget> budgets_;
+    retry_allowance own_allowance_;
+    std::set<std::string> withdrawn_;
+    std::unordered_map<std::uint64_t, waiting_request> waiting_;
+    std::unordered_map<std::uint64_t, own_work> own_;
+    std::uint64_t last_crash_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/endpoint_call.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "gateway/wire_format.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace galenapulley
+{
+
+/// How far a call came.
+enum class call_step
+{
+    done,
+    /// No connection could be made.
+    unreachable,
+    /// The connection broke.
+    broken,
+    /// The endpoint was silent for too long.
+    timed_out,
+    cancelled
+};
+
+/// One request to one endpoint on a connection of its own. A new connection
+/// for each call costs about a millisecond, and bytes of an earlier answer
+/// can't reach it.
+class endpoint_call : public std::enable_shared_from_this<endpoint_call>
+{
+public:
+    explicit endpoint_call(boost::asio::io_context& io);
+
+    boost::asio::awaitable<call_step> connect(const std::string& address,
+                                              msec limit);
+    /// Sends the request and reads the head of the answer. The answer may
+    /// arrive before the request is sent whole.
+    boost::asio::awaitable<call_step> exchange_head(std::string request,
+                                                    bool head_only, msec limit);
+    /// Appends the next part of the body to `out`; nothing at its end.
+    boost::asio::awaitable<call_step> read_some(std::string& out, msec limit);
+    bool body_complete() const { return parser_->is_done(); }
+
+    int status() const;
+    std::string reason() const;
+    header_list headers() const;
+
+    /// Ends the running step and closes the connection.
+    void cancel();
+    /// Whether the endpoint can have received any of the request.
+    bool sent() const { return sent_; }
+
+private:
+    using parser =
+        boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    void start_timer(msec limit);
+    call_step step_of(const boost::system::error_code& ec) const;
+    void close();
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    boost::beast::flat_buffer in_;
+    std::unique_ptr<parser> parser_;
+    std::string out_;
+    bool sent_ = false;
+    bool expired_ = false;
+    bool cancelled_ = false;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/event_log.cpp
@@ -0,0 +1,180 @@
+#include "gateway/event_log.hpp"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/base_sink.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+/// Bytes kept for a reader that is behind.
+constexpr std::size_t max_kept_bytes = 65'536;
+
+struct event_row
+{
+    log_event event;
+    std::string_view name;
+    /// Changes of state and failures are logged at "info", the rest of a
+    /// request's life at "debug" or "info" by its weight for on-call.
+    spdlog::level::level_enum level;
+};
+
+using enum log_event;
+constexpr auto info = spdlog::level::info;
+constexpr auto warn = spdlog::level::warn;
+constexpr auto debug = spdlog::level::debug;
+
+constexpr std::array<event_row, log_event_count> rows{{
+    {started, "started", info},
+    {stopping, "stopping", info},
+    {stopped, "stopped", info},
+    {reloaded, "reloaded", info},
+    {reload_failed, "reload_failed", warn},
+    {configuration, "configuration", info},
+    {configuration_rejected, "configuration_rejected", warn},
+    {endpoints, "endpoints", info},
+    {domains_withdrawn, "domains_withdrawn", info},
+    {store_lost, "store_lost", warn},
+    {store_regained, "store_regained", info},
+    {peer_gained, "peer_gained", info},
+    {peer_lost, "peer_lost", warn},
+    {strike, "strike", warn},
+    {endpoint_avoided, "endpoint_avoided", warn},
+    {request_read, "request_read", debug},
+    {placed, "placed", info},
+    {queued, "queued", info},
+    {refused, "refused", info},
+    {sent_again, "sent_again", info},
+    {resumed, "resumed", info},
+    {answered, "answered", info},
+    {failed, "failed", warn},
+    {cancelled, "cancelled", info},
+    {skipped, "skipped", warn},
+}};
+
+const event_row& row_of(log_event event)
+{
+    return rows.at(static_cast<std::size_t>(event));
+}
+
+} // namespace
+
+std::string_view name_of(log_event event)
+{
+    return row_of(event).name;
+}
+
+/// Collects lines in memory and writes them without waiting.
+class event_log::line_sink final : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+    line_sink()
+    {
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0)
+            ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+
+    std::uint64_t take_lost() { return lost_.exchange(0); }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg& msg) override
+    {
+        if (kept_.size() + msg.payload.size() + 1 > max_kept_bytes)
+        {
+            ++lost_;
+            return;
+        }
+        kept_.append(msg.payload.data(), msg.payload.size());
+        kept_ += '\n';
+    }
+
+    void flush_() override
+    {
+        if (kept_.empty())
+            return;
+        const auto n = ::write(STDOUT_FILENO, kept_.data(), kept_.size());
+        if (n > 0)
+            kept_.erase(0, static_cast<std::size_t>(n));
+    }
+
+private:
+    std::string kept_;
+    std::atomic<std::uint64_t> lost_{0};
+};
+
+event_log::event_log(std::string node, const std::string& level)
+    : node_(std::move(node))
+    , sink_(std::make_shared<line_sink>())
+    , logger_(std::make_shared<spdlog::logger>("events", sink_))
+{
+    set_level(level);
+}
+
+event_log::~event_log()
+{
+    flush();
+}
+
+void event_log::set_level(const std::string& level)
+{
+    logger_->set_level(spdlog::level::from_str(level));
+}
+
+bool event_log::admit(log_event event, msec now)
+{
+    const std::lock_guard lock(mutex_);
+    if (now / 1000 != second_)
+    {
+        second_ = now / 1000;
+        written_.fill(0);
+    }
+    if (++written_.at(static_cast<std::size_t>(event)) <= lines_per_second)
+        return true;
+    ++left_out_;
+    ++left_out_total_;
+    return false;
+}
+
+void event_log::write(log_event event, std::initializer_list<field> fields)
+{
+    const auto& row = row_of(event);
+    if (!logger_->should_log(row.level))
+        return;
+    const auto now = wall_time();
+    if (!admit(event, now))
+        return;
+    nlohmann::ordered_json line{
+        {"at", now}, {"node", node_}, {"event", row.name}};
+    for (const auto& [name, content] : fields)
+        std::visit([&line, key = std::string(name)](const auto& it)
+                   { line[key] = it; },
+                   content);
+    // Ids are the clients' bytes, which need not be valid UTF-8.
+    logger_->log(
+        row.level,
+        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void event_log::flush()
+{
+    std::uint64_t left_out = sink_->take_lost();
+    left_out_total_ += left_out;
+    {
+        const std::lock_guard lock(mutex_);
+        left_out += left_out_;
+        left_out_ = 0;
+    }
+    if (left_out > 0)
+        write(log_event::skipped,
+              {{"lines", static_cast<std::int64_t>(left_out)}});
+    logger_->flush();
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/event_log.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace spdlog
+{
+class logger;
+}
+
+namespace galenapulley
+{
+
+/// Everything that a gateway logs; docs/OPERATIONS.md lists the fields.
+enum class log_event
+{
+    started,
+    stopping,
+    stopped,
+    reloaded,
+    reload_failed,
+    configuration,
+    configuration_rejected,
+    endpoints,
+    domains_withdrawn,
+    store_lost,
+    store_regained,
+    peer_gained,
+    peer_lost,
+    strike,
+    endpoint_avoided,
+    request_read,
+    placed,
+    queued,
+    refused,
+    sent_again,
+    resumed,
+    answered,
+    failed,
+    cancelled,
+    skipped
+};
+
+constexpr std::size_t log_event_count =
+    static_cast<std::size_t>(log_event::skipped) + 1;
+
+std::string_view name_of(log_event event);
+
+/// Writes one JSON object a line to standard output. It never waits: lines
+/// that exceed a bound per second and event, or that the reader of standard
+/// output doesn't take, are left out and counted. Thread-safe.
+class event_log
+{
+public:
+    using value = std::variant<std::string_view, std::int64_t, double>;
+    using field = std::pair<std::string_view, value>;
+
+    event_log(std::string node, const std::string& level);
+    ~event_log();
+
+    event_log(const event_log&) = delete;
+    event_log& operator=(const event_log&) = delete;
+
+    void write(log_event event, std::initializer_list<field> fields);
+    /// Hands the collected lines to standard output and logs what was left
+    /// out; called a few times a second.
+    void flush();
+    void set_level(const std::string& level);
+    std::uint64_t left_out() const { return left_out_total_; }
+
+    /// Lines per second and event, per node.
+    static constexpr std::uint32_t lines_per_second = 100;
+
+private:
+    class line_sink;
+
+    bool admit(log_event event, msec now);
+
+    std::string node_;
+    std::mutex mutex_;
+    msec second_ = 0;
+    std::array<std::uint32_t, log_event_count> written_{};
+    std::uint64_t left_out_ = 0;
+    std::atomic<std::uint64_t> left_out_total_{0};
+    std::shared_ptr<line_sink> sink_;
+    std::shared_ptr<spdlog::logger> logger_;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/forwarding.cpp
@@ -0,0 +1,534 @@
+#include "gateway/forwarding.hpp"
+
+#include "gateway/answer_text.hpp"
+#include "gateway/client_connection.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace galenapulley
+{
+
+namespace asio = boost::asio;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+namespace
+{
+
+/// An endpoint accepts a connection within a few milliseconds; a lost packet
+/// is only sent again after a second.
+constexpr msec connect_limit = 400;
+/// Calls of one request, those that were refused included.
+constexpr std::uint32_t max_calls = 4;
+/// Largest answer that is held until it is whole.
+constexpr std::size_t max_held_answer = std::size_t{8} << 20;
+/// A stream that is silent for a multiple of what is expected, and for this
+/// time at least, goes on at another endpoint. Clients leave after two seconds
+/// without an event.
+constexpr msec shortest_silence = 1000;
+constexpr msec first_event_slack = 1500;
+constexpr double silence_factor = 2.5;
+
+std::string_view content_type_of(const header_list& headers)
+{
+    for (const auto& [name, value] : headers)
+        if (same_header(name, "content-type"))
+            return value;
+    return {};
+}
+
+/// The endpoint's headers, without those that concern its connection.
+header_list client_headers(const header_list& headers)
+{
+    header_list out;
+    for (const auto& it : headers)
+        if (!is_connection_header(it.first) &&
+            !is_named_by_connection(headers, it.first))
+            out.push_back(it);
+    return out;
+}
+
+} // namespace
+
+forwarding::forwarding(traffic_state& state, client_connection& client,
+                       admitted_request request)
+    : state_(state)
+    , client_(client)
+    , request_(std::move(request))
+    , give_up_timer_(state.io)
+    , wake_(state.io)
+    , keep_(!client.closes_after(request_.received))
+    , last_event_(request_.facts.last_event)
+{
+}
+
+forwarding::~forwarding()
+{
+    give_up_timer_.cancel();
+}
+
+void forwarding::on_client_gone()
+{
+    end(end_reason::client_gone);
+}
+
+void forwarding::end(end_reason reason)
+{
+    if (end_ == end_reason::none)
+        end_ = reason;
+    if (call_)
+        call_->cancel();
+    wake_.cancel();
+}
+
+void forwarding::start_give_up_timer()
+{
+    give_up_timer_.expires_after(
+        std::chrono::milliseconds(std::max(time_left(), 0_ms)));
+    give_up_timer_.async_wait(
+        [this](const boost::system::error_code& ec)
+        {
+            if (!ec)
+                end(end_reason::out_of_time);
+        });
+}
+
+asio::awaitable<bool> forwarding::run()
+{
+    start_give_up_timer();
+    while (end_ == end_reason::none)
+    {
+        auto answer = co_await ask_dispatcher();
+        if (!answer)
+            break;
+        if (auto* const refusal = std::get_if<dispatch_refusal>(&*answer))
+            co_return co_await answer_refusal(std::move(*refusal));
+        auto grant = std::get<dispatch_grant>(*std::move(answer));
+        const auto next = co_await call_endpoint(std::move(grant));
+        if (next == next_step::finished)
+            co_return keep_ && !client_.client_gone();
+        if (next == next_step::give_up)
+            co_return co_await answer_last_outcome();
+    }
+    co_return co_await answer_ended();
+}
+
+dispatch_request forwarding::make_dispatch_request(std::uint64_t id) const
+{
+    const auto& facts = request_.facts;
+    return {.id = id,
+            .attempt = facts.attempt,
+            .table = request_.table,
+            .way = request_.way,
+            .service = request_.service,
+            .account = request_.account,
+            .priority = request_.priority,
+            .prompt_tokens = facts.prompt_tokens,
+            .output_tokens =
+                facts.expected_output_tokens.value_or(facts.max_output_tokens),
+            .received_at = request_.received.received_at,
+            .give_up_at = request_.give_up_at,
+            .fingerprint = request_.fingerprint,
+            .tried = tried_,
+            .repeat = calls_ > 0 && last_outcome_ != call_outcome::unreachable};
+}
+
+std::shared_ptr<forwarding::pending_answer>
+forwarding::send_dispatch_request(std::uint64_t id)
+{
+    const auto pending = std::make_shared<pending_answer>();
+    pending->wake = &wake_;
+    state_.dispatch.request(
+        make_dispatch_request(id),
+        [pending, id, &dispatch = state_.dispatch](dispatch_answer answer)
+        {
+            if (pending->wake != nullptr)
+            {
+                pending->answer = std::move(answer);
+                pending->wake->cancel();
+            }
+            // The request has ended meanwhile; the place is given back.
+            else if (std::holds_alternative<dispatch_grant>(answer))
+                dispatch.on_finished(id, call_outcome::client_gone);
+        });
+    return pending;
+}
+
+asio::awaitable<std::optional<dispatch_answer>> forwarding::ask_dispatcher()
+{
+    const auto id = ++state_.next_request;
+    dispatch_id_ = id;
+    wake_.expires_at(std::chrono::steady_clock::time_point::max());
+    const auto pending = send_dispatch_request(id);
+    boost::system::error_code ec;
+    co_await wake_.async_wait(redirect_error(use_awaitable, ec));
+    pending->wake = nullptr;
+    if (!pending->answer)
+    {
+        state_.dispatch.cancel(id);
+        co_return std::nullopt;
+    }
+    if (end_ != end_reason::none &&
+        std::holds_alternative<dispatch_grant>(*pending->answer))
+    {
+        state_.dispatch.on_finished(id, call_outcome::client_gone);
+        co_return std::nullopt;
+    }
+    co_return std::move(pending->answer);
+}
+
+asio::awaitable<forwarding::next_step>
+forwarding::call_endpoint(dispatch_grant grant)
+{
+    placed_at_ = now();
+    if (calls_ == 0)
+        state_.metrics.observe(request_stage::placement,
+                               placed_at_ - request_.received.received_at);
+    expected_first_event_ms_ = grant.expected_first_event_ms;
+    call_ = std::make_shared<endpoint_call>(state_.io);
+    const auto outcome = co_await exchange(grant);
+    call_->cancel();
+    call_.reset();
+    state_.metrics.count(outcome);
+    state_.dispatch.on_finished(dispatch_id_, outcome);
+    tried_.push_back(grant.key);
+    ++calls_;
+    last_outcome_ = outcome;
+    const auto next = after(outcome);
+    if (next == next_step::try_again)
+        note_next_attempt(grant, outcome);
+    co_return next;
+}
+
+void forwarding::note_next_attempt(const dispatch_grant& grant,
+                                   call_outcome outcome) const
+{
+    const bool resumes = events_sent_ > 0;
+    state_.count.count(resumes ? retry_reason::stream_resumed
+                       : outcome == call_outcome::unreachable
+                           ? retry_reason::connect_failed
+                           : retry_reason::back_end_failed);
+    state_.log.write(
+        resumes ? log_event::resumed : log_event::sent_again,
+        {{"request", std::string_view(request_.facts.attempt)},
+         {"endpoint", std::string_view(grant.runner.id)},
+         {"outcome", name_of(outcome)},
+         {"calls", static_cast<std::int64_t>(calls_)},
+         {"after_event", static_cast<std::int64_t>(last_event_.value_or(0))},
+         {"left_ms", time_left()}});
+}
+
+std::string forwarding::endpoint_request(const dispatch_grant& grant) const
+{
+    endpoint_facts facts{.endpoint = grant.runner.id,
+                         .account = request_.account,
+                         .time_left = std::max(time_left(), 1_ms),
+                         .last_event = last_event_};
+    for (const auto& it : grant.helpers)
+        facts.helpers.emplace_back(it.address, it.reservation);
+    return request_text(
+        request_.received.method, request_.received.target,
+        state_.format.endpoint_headers(request_.received.headers, facts),
+        request_.received.body);
+}
+
+asio::awaitable<call_outcome> forwarding::exchange(const dispatch_grant& grant)
+{
+    const auto connected =
+        co_await call_->connect(grant.runner.address, connect_limit);
+    if (connected == call_step::unreachable)
+        co_return call_outcome::unreachable;
+    if (connected != call_step::done)
+        co_return outcome_of(connected);
+    auto text = endpoint_request(grant);
+    const auto head = co_await call_->exchange_head(
+        std::move(text), request_.received.method == "HEAD", silence_limit());
+    if (head != call_step::done)
+    {
+        may_have_run_ = true;
+        ++runs_;
+        co_return outcome_of(head);
+    }
+    auto headers = call_->headers();
+    const auto facts = state_.format.read_answer(call_->status(), headers);
+    co_return co_await take_head(facts, std::move(headers));
+}
+
+asio::awaitable<call_outcome> forwarding::take_head(const answer_facts& facts,
+                                                    header_list headers)
+{
+    if (facts.replaced)
+        co_return call_outcome::replaced;
+    if (facts.not_run)
+        co_return call_outcome::not_run;
+    may_have_run_ = true;
+    ++runs_;
+    const bool success = call_->status() >= 200 && call_->status() < 300;
+    // An answer without signature, or to another request, is not the
+    // endpoint's answer to this one.
+    if (!facts.attempt.empty() && facts.attempt != request_.facts.attempt)
+        co_return call_outcome::broken_before_answer;
+    if (success && !facts.sealed)
+        co_return call_outcome::broken_before_answer;
+    if (success && is_stream(headers))
+        co_return co_await relay_stream(std::move(headers));
+    co_return co_await relay_whole(std::move(headers));
+}
+
+bool forwarding::is_stream(const header_list& headers) const
+{
+    return content_type_of(headers).substr(0, 17) == "text/event-stream";
+}
+
+call_outcome forwarding::outcome_of(call_step step) const
+{
+    if (end_ == end_reason::client_gone)
+        return call_outcome::client_gone;
+    if (end_ == end_reason::out_of_time)
+        return call_outcome::timed_out;
+    if (step == call_step::timed_out)
+        return call_outcome::stalled;
+    return head_sent_ ? call_outcome::broken_answer
+                      : call_outcome::broken_before_answer;
+}
+
+msec forwarding::silence_limit() const
+{
+    const auto left = std::max(time_left(), 1_ms);
+    if (!request_.way->repeatable() || runs_ + 1 >= request_.way->max_attempts)
+        return left;
+    const auto base =
+        events_sent_ > 0
+            ? static_cast<double>(request_.way->gap_target)
+            : expected_first_event_ms_ + static_cast<double>(first_event_slack);
+    const auto limit =
+        std::max(shortest_silence, static_cast<msec>(silence_factor * base));
+    return std::min(left, limit);
+}
+
+asio::awaitable<call_outcome> forwarding::relay_whole(header_list headers)
+{
+    std::string body;
+    const bool skip_body = request_.received.method == "HEAD";
+    while (!skip_body && !call_->body_complete())
+    {
+        const auto step =
+            co_await call_->read_some(body, std::max(time_left(), 1_ms));
+        if (step != call_step::done)
+            co_return outcome_of(step);
+        if (body.size() > max_held_answer)
+            co_return call_outcome::broken_before_answer;
+    }
+    const int status = call_->status();
+    const bool failed = status >= 500;
+    if (failed && may_try_again(call_outcome::endpoint_error))
+        co_return call_outcome::endpoint_error;
+    if (head_sent_)
+        co_return call_outcome::broken_answer;
+    state_.metrics.count_answer(status);
+    state_.metrics.observe(request_stage::first_event, now() - placed_at_);
+    head_sent_ = true;
+    auto text = answer_head(status, call_->reason(), client_headers(headers),
+                            body.size(), keep_) +
+                body;
+    const auto sent = co_await client_.write(std::move(text));
+    if (!sent)
+        co_return call_outcome::client_gone;
+    log_end(log_event::answered, failed ? "endpoint_error" : "whole", "");
+    co_return failed ? call_outcome::endpoint_error : call_outcome::completed;
+}
+
+asio::awaitable<bool> forwarding::send_events(const header_list& headers,
+                                              const std::string& events)
+{
+    const auto at = now();
+    if (events_sent_ == 0)
+        state_.metrics.observe(request_stage::first_event, at - placed_at_);
+    else
+        longest_pause_ = std::max(longest_pause_, at - last_event_at_);
+    last_event_at_ = at;
+    std::string out;
+    if (!head_sent_)
+    {
+        out = answer_head(call_->status(), call_->reason(),
+                          client_headers(headers), std::nullopt, keep_);
+        state_.metrics.count_answer(call_->status());
+    }
+    head_sent_ = true;
+    out += chunk(events);
+    co_return co_await client_.write(std::move(out));
+}
+
+asio::awaitable<call_outcome> forwarding::relay_stream(header_list headers)
+{
+    event_splitter splitter;
+    bool told_first = false;
+    while (!call_->body_complete())
+    {
+        std::string bytes;
+        const auto step = co_await call_->read_some(bytes, silence_limit());
+        const auto events = splitter.feed(bytes);
+        if (!events.empty())
+        {
+            // A resumed stream has to go on right behind the last event.
+            if (last_event_ && !told_first &&
+                splitter.first_id() != *last_event_ + 1)
+                co_return call_outcome::broken_answer;
+            if (!std::exchange(told_first, true))
+                state_.dispatch.on_first_event(dispatch_id_);
+            if (!co_await send_events(headers, events))
+                co_return call_outcome::client_gone;
+            if (splitter.last_id())
+                last_event_ = splitter.last_id();
+            ++events_sent_;
+        }
+        if (step != call_step::done)
+            co_return outcome_of(step);
+    }
+    if (splitter.has_partial())
+        co_return call_outcome::broken_answer;
+    std::string end;
+    if (!head_sent_)
+        end = answer_head(call_->status(), call_->reason(),
+                          client_headers(headers), std::nullopt, keep_);
+    head_sent_ = true;
+    end += last_chunk;
+    if (!co_await client_.write(std::move(end)))
+        co_return call_outcome::client_gone;
+    state_.metrics.observe(request_stage::pause, longest_pause_);
+    log_end(log_event::answered, "stream", "");
+    co_return call_outcome::completed;
+}
+
+bool forwarding::may_try_again(call_outcome outcome) const
+{
+    const auto& way = *request_.way;
+    const bool runs_left = runs_ < way.max_attempts;
+    if (end_ != end_reason::none || time_left() <= 0 || calls_ + 1 >= max_calls)
+        return false;
+    switch (outcome)
+    {
+    case call_outcome::unreachable:
+    case call_outcome::replaced:
+        return !may_have_run_ || (way.repeatable() && runs_left);
+    case call_outcome::not_run:
+        // The client may only be told "not run" after the last such answer.
+        return way.max_attempts > 1 && runs_left;
+    case call_outcome::endpoint_error:
+        return way.repeatable() && runs_left;
+    case call_outcome::broken_before_answer:
+    case call_outcome::broken_answer:
+    case call_outcome::stalled:
+        return way.repeatable() && runs_left;
+    case call_outcome::completed:
+    case call_outcome::timed_out:
+    case call_outcome::client_gone:
+        return false;
+    }
+    return false;
+}
+
+forwarding::next_step forwarding::after(call_outcome outcome)
+{
+    if (outcome == call_outcome::completed)
+        return next_step::finished;
+    if (outcome == call_outcome::endpoint_error && head_sent_)
+        return next_step::finished;
+    // calls_ counts this call already, may_try_again() counts it itself.
+    --calls_;
+    const bool again = may_try_again(outcome);
+    ++calls_;
+    return again ? next_step::try_again : next_step::give_up;
+}
+
+asio::awaitable<bool> forwarding::answer_last_outcome()
+{
+    if (end_ != end_reason::none)
+        co_return co_await answer_ended();
+    switch (last_outcome_)
+    {
+    case call_outcome::not_run:
+    case call_outcome::replaced:
+    case call_outcome::unreachable:
+        if (!may_have_run())
+            co_return co_await answer_failure(
+                error_kind::overloaded, name_of(last_outcome_),
+                answer_for(error_kind::overloaded).retry_after / 4);
+        break;
+    default:
+        break;
+    }
+    co_return co_await answer_failure(error_kind::back_end_failed,
+                                      name_of(last_outcome_), 0);
+}
+
+asio::awaitable<bool> forwarding::answer_refusal(dispatch_refusal refusal)
+{
+    // "Not run" would be untrue once an endpoint had the request.
+    if (may_have_run())
+        co_return co_await answer_failure(error_kind::back_end_failed,
+                                          refusal.reason, 0);
+    co_return co_await answer_failure(refusal.kind, refusal.reason,
+                                      refusal.retry_after);
+}
+
+asio::awaitable<bool> forwarding::answer_ended()
+{
+    if (end_ == end_reason::client_gone || client_.client_gone())
+    {
+        log_end(log_event::cancelled, "client_gone", "");
+        client_.abort();
+        co_return false;
+    }
+    if (may_have_run())
+        co_return co_await answer_failure(error_kind::deadline_exceeded,
+                                          "out of time at the endpoint", 0);
+    co_return co_await answer_failure(
+        error_kind::overloaded, "out of time before it could be placed",
+        answer_for(error_kind::overloaded).retry_after / 4);
+}
+
+asio::awaitable<bool> forwarding::answer_failure(error_kind kind,
+                                                 std::string_view reason,
+                                                 msec retry_after)
+{
+    log_end(log_event::failed, name_of(kind), reason);
+    if (head_sent_)
+    {
+        // A broken answer must look broken.
+        client_.abort();
+        co_return false;
+    }
+    head_sent_ = true;
+    std::string message(reason);
+    co_return co_await client_.refuse(kind, std::move(message), retry_after,
+                                      keep_);
+}
+
+void forwarding::log_end(log_event event, std::string_view kind,
+                         std::string_view reason) const
+{
+    const auto spent = now() - request_.received.received_at;
+    state_.metrics.observe(request_stage::whole, spent);
+    state_.log.write(
+        event, {{"request", std::string_view(request_.facts.attempt)},
+                {"route", std::string_view(request_.way->name)},
+                {"kind", kind},
+                {"reason", reason},
+                {"ms", spent},
+                {"calls", static_cast<std::int64_t>(calls_ + (call_ ? 1 : 0))},
+                {"last_outcome", name_of(last_outcome_)},
+                {"events", static_cast<std::int64_t>(events_sent_)},
+                {"longest_pause_ms", longest_pause_},
+                {"first_event_ms",
+                 events_sent_ > 0 ? last_event_at_ - placed_at_ : 0}});
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/forwarding.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "galenapulley/event_splitter.hpp"
+#include "gateway/client_request.hpp"
+#include "gateway/dispatch_request.hpp"
+#include "gateway/endpoint_call.hpp"
+#include "gateway/traffic_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+class client_connection;
+
+/// Carries one request to endpoints, with further attempts where they are
+/// allowed, and its answer back to the client.
+class forwarding
+{
+public:
+    forwarding(traffic_state& state, client_connection& client,
+               admitted_request request);
+    ~forwarding();
+
+    forwarding(const forwarding&) = delete;
+    forwarding& operator=(const forwarding&) = delete;
+
+    /// Returns whether the client's connection can be kept.
+    boost::asio::awaitable<bool> run();
+    /// Ends the work at the endpoint.
+    void on_client_gone();
+
+private:
+    enum class end_reason
+    {
+        none,
+        client_gone,
+        out_of_time
+    };
+
+    /// What follows a call to an endpoint.
+    enum class next_step
+    {
+        finished,
+        try_again,
+        give_up
+    };
+
+    msec now() const { return state_.time.now(); }
+    msec time_left() const { return request_.give_up_at - now(); }
+    void start_give_up_timer();
+    void end(end_reason reason);
+
+    struct pending_answer
+    {
+        std::optional<dispatch_answer> answer;
+        /// Null once the request no longer waits.
+        boost::asio::steady_timer* wake = nullptr;
+    };
+
+    dispatch_request make_dispatch_request(std::uint64_t id) const;
+    std::shared_ptr<pending_answer> send_dispatch_request(std::uint64_t id);
+    boost::asio::awaitable<std::optional<dispatch_answer>> ask_dispatcher();
+    void note_next_attempt(const dispatch_grant& grant,
+                           call_outcome outcome) const;
+    boost::asio::awaitable<next_step> call_endpoint(dispatch_grant grant);
+    boost::asio::awaitable<call_outcome> exchange(const dispatch_grant& grant);
+    boost::asio::awaitable<call_outcome> take_head(const answer_facts& facts,
+                                                   header_list headers);
+    boost::asio::awaitable<call_outcome> relay_whole(header_list headers);
+    boost::asio::awaitable<call_outcome> relay_stream(header_list headers);
+    boost::asio::awaitable<bool> send_events(const header_list& headers,
+                                             const std::string& events);
+    next_step after(call_outcome outcome);
+    bool may_try_again(call_outcome outcome) const;
+    /// Whether anything of the request may have run.
+    bool may_have_run() const { return may_have_run_; }
+    call_outcome outcome_of(call_step step) const;
+    msec silence_limit() const;
+    std::string endpoint_request(const dispatch_grant& grant) const;
+    bool is_stream(const header_list& headers) const;
+
+    boost::asio::awaitable<bool>
+    answer_failure(error_kind kind, std::string_view reason, msec retry_after);
+    boost::asio::awaitable<bool> answer_refusal(dispatch_refusal refusal);
+    boost::asio::awaitable<bool> answer_ended();
+    boost::asio::awaitable<bool> answer_last_outcome();
+    void log_end(log_event event, std::string_view kind,
+                 std::string_view reason) const;
+
+    traffic_state& state_;
+    client_connection& client_;
+    admitted_request request_;
+    boost::asio::steady_timer give_up_timer_;
+    /// Wakes run() when the dispatcher has answered or the request ends.
+    boost::asio::steady_timer wake_;
+    std::shared_ptr<endpoint_call> call_;
+    end_reason end_ = end_reason::none;
+
+    std::uint64_t dispatch_id_ = 0;
+    std::vector<endpoint_key> tried_;
+    /// Calls that may have started the request.
+    std::uint32_t runs_ = 0;
+    /// Calls made, refused ones included.
+    std::uint32_t calls_ = 0;
+    bool may_have_run_ = false;
+    call_outcome last_outcome_ = call_outcome::completed;
+    bool head_sent_ = false;
+    bool keep_ = true;
+    std::optional<std::uint64_t> last_event_;
+    std::uint64_t events_sent_ = 0;
+    msec placed_at_ = 0;
+    msec last_event_at_ = 0;
+    msec longest_pause_ = 0;
+    double expected_first_event_ms_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/counters.hpp"
+#include "galenapulley/membership.hpp"
+#include "gateway/cluster_view.hpp"
+#include "gateway/dispatch_port.hpp"
+#include "gateway/dispatcher.hpp"
+#include "gateway/event_log.hpp"
+#include "gateway/gateway_metrics.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "gateway/row_store.hpp"
+#include "gateway/traffic_server.hpp"
+#include "gateway/traffic_state.hpp"
+#include "gateway/wire_format.hpp"
+#include "node/control_loop.hpp"
+#include "node/peer_socket.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace galenapulley
+{
+
+/// What a gateway needs from the adapter to a platform.
+struct gateway_adapter
+{
+    std::unique_ptr<wire_format> format;
+    std::unique_ptr<row_codec> codec;
+    /// Makes the store's client; its callbacks run on the loop.
+    std::function<std::unique_ptr<row_store>(control_loop&,
+                                             const gateway_settings&)>
+        make_store;
+};
+
+/// One gateway process: takes clients' requests, finds endpoints for them
+/// together with the other nodes, and carries them there. The thread that
+/// calls run() is the control thread.
+class gateway
+{
+public:
+    gateway(gateway_settings settings, std::string settings_path,
+            gateway_adapter adapter);
+    ~gateway();
+
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    /// Serves until the process is asked to stop.
+    void run();
+    /// May be called from any thread.
+    void request_stop();
+    void request_reload();
+
+private:
+    membership_options make_membership_options() const;
+    void start_timers();
+    void begin_stop();
+    void check_stopped();
+    void reload();
+    void gossip();
+    void follow_members();
+    void publish_state();
+    void flush_gauges();
+    void join_cluster();
+    void leave_address();
+
+    void receive(wire::peer_message message);
+    void send_to_live(const wire::peer_message& message);
+    void set_routing(std::shared_ptr<const routing_table> routing);
+
+    gateway_settings settings_;
+    std::string settings_path_;
+    gateway_adapter adapter_;
+    steady_clock clock_;
+    std::int64_t incarnation_;
+    event_log log_;
+    counters counters_;
+    gateway_metrics metrics_;
+    control_loop loop_;
+    membership members_;
+    peer_socket peers_;
+    std::unique_ptr<row_store> store_;
+    dispatcher dispatcher_;
+    cluster_view view_;
+    boost::asio::io_context traffic_io_;
+    dispatch_port port_;
+    traffic_state traffic_;
+    traffic_server server_;
+    /// Incarnations of the nodes that are alive.
+    std::map<std::string, std::int64_t> live_;
+    bool has_routing_ = false;
+    bool serving_ = false;
+    msec stop_began_ = 0;
+    msec last_settings_change_ = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,107 @@
+#include "gateway/gateway_metrics.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <string_view>
+#include <vector>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, request_stage_count> stage_names{
+    "placement", "first_event", "pause", "whole"};
+constexpr std::array<std::string_view, gauge_count> gauge_names{
+    "configuration_version", "operations_age_ms",
+    "endpoints_age_ms",      "store_reached",
+    "endpoints_known",       "live_nodes",
+    "waiting_requests",      "running_requests",
+    "open_connections",      "body_bytes",
+    "log_lines_left_out"};
+constexpr double ms_per_second = 1000;
+
+std::vector<std::string> outcome_names()
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < call_outcome_count; ++n)
+        out.emplace_back(name_of(static_cast<call_outcome>(n)));
+    return out;
+}
+
+} // namespace
+
+gateway_metrics::gateway_metrics(counters& registry)
+    : outcomes_(registry.add("galenapulley_endpoint_calls_total",
+                             "Calls to endpoints by their end", "outcome",
+                             outcome_names()))
+    , answers_(registry.add("galenapulley_answers_total",
+                            "Answers to clients by class of status", "class",
+                            {"other", "1xx", "2xx", "3xx", "4xx", "5xx"}))
+{
+}
+
+void gateway_metrics::observe(request_stage stage, msec elapsed)
+{
+    auto& it = histograms_.at(static_cast<std::size_t>(stage));
+    const auto bound = std::lower_bound(bounds.begin(), bounds.end(), elapsed);
+    ++it.counts.at(static_cast<std::size_t>(bound - bounds.begin()));
+    it.sum_ms += static_cast<std::uint64_t>(std::max(elapsed, 0_ms));
+}
+
+void gateway_metrics::set(gauge which, std::int64_t value)
+{
+    gauges_.at(static_cast<std::size_t>(which)) = value;
+}
+
+void gateway_metrics::count(call_outcome outcome)
+{
+    outcomes_.increment(static_cast<std::size_t>(outcome));
+}
+
+void gateway_metrics::count_answer(int status)
+{
+    const auto group = static_cast<std::size_t>(status / 100);
+    answers_.increment(group <= 5 ? group : 0);
+}
+
+std::string gateway_metrics::expose() const
+{
+    std::string out;
+    auto to = std::back_inserter(out);
+    constexpr std::string_view name = "galenapulley_request_seconds";
+    fmt::format_to(to,
+                   "# HELP {} Times of a request by stage\n# TYPE {} "
+                   "histogram\n",
+                   name, name);
+    for (std::size_t n = 0; n < histograms_.size(); ++n)
+    {
+        const auto& it = histograms_[n];
+        std::uint64_t total = 0;
+        for (std::size_t k = 0; k < bounds.size(); ++k)
+        {
+            total += it.counts[k];
+            fmt::format_to(to, "{}_bucket{{stage=\"{}\",le=\"{}\"}} {}\n", name,
+                           stage_names[n],
+                           static_cast<double>(bounds[k]) / ms_per_second,
+                           total);
+        }
+        total += it.counts.back();
+        fmt::format_to(
+            to,
+            "{0}_bucket{{stage=\"{1}\",le=\"+Inf\"}} {2}\n"
+            "{0}_sum{{stage=\"{1}\"}} {3}\n{0}_count{{stage=\"{1}\"}} {2}\n",
+            name, stage_names[n], total,
+            static_cast<double>(it.sum_ms) / ms_per_second);
+    }
+    for (std::size_t n = 0; n < gauges_.size(); ++n)
+        fmt::format_to(to,
+                       "# TYPE galenapulley_{0} gauge\ngalenapulley_{0} {1}\n",
+                       gauge_names[n], gauges_[n].load());
+    return out;
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/gateway_metrics.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/counters.hpp"
+#include "gateway/dispatch_request.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace galenapulley
+{
+
+/// Stages of a request whose times are counted.
+enum class request_stage
+{
+    /// From the request to the choice of an endpoint.
+    placement,
+    /// From the choice to the answer's head, for streams to the first event.
+    first_event,
+    /// Longest pause between two events of a stream.
+    pause,
+    /// From the request to the end of the answer.
+    whole
+};
+
+constexpr std::size_t request_stage_count =
+    static_cast<std::size_t>(request_stage::whole) + 1;
+
+enum class gauge
+{
+    configuration_version,
+    operations_age_ms,
+    endpoints_age_ms,
+    store_reached,
+    endpoints_known,
+    live_nodes,
+    waiting_requests,
+    running_requests,
+    open_connections,
+    body_bytes,
+    log_lines_left_out
+};
+
+constexpr std::size_t gauge_count =
+    static_cast<std::size_t>(gauge::log_lines_left_out) + 1;
+
+/// Histograms, gauges and outcomes of a gateway. Thread-safe.
+class gateway_metrics
+{
+public:
+    explicit gateway_metrics(counters& registry);
+
+    void observe(request_stage stage, msec elapsed);
+    void set(gauge which, std::int64_t value);
+    void count(call_outcome outcome);
+    void count_answer(int status);
+
+    /// Histograms and gauges in the metrics text format.
+    std::string expose() const;
+
+private:
+    static constexpr std::array<msec, 12> bounds{
+        10, 25, 50, 100, 250, 500, 1000, 1500, 3000, 4000, 8000, 15'000};
+
+    struct histogram
+    {
+        std::array<std::atomic<std::uint64_t>, bounds.size() + 1> counts{};
+        std::atomic<std::uint64_t> sum_ms{0};
+    };
+
+    counter_family& outcomes_;
+    counter_family& answers_;
+    std::array<histogram, request_stage_count> histograms_;
+    std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,52 @@
+#include "gateway/gateway_settings.hpp"
+
+#include "galenapulley/json_reader.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr std::string_view document_kind = "gateway settings";
+constexpr std::array<std::string_view, 4> log_levels{"debug", "info", "warning",
+                                                     "error"};
+
+} // namespace
+
+absl::StatusOr<gateway_settings> parse_gateway_settings(std::string_view text)
+{
+    const auto json = parse_json(text, document_kind);
+    if (!json.ok())
+        return json.status();
+    fault_list faults;
+    object_reader reader(*json, "", faults);
+    gateway_settings out;
+    out.node = reader.text("node", name_rule);
+    out.region = reader.text("region", name_rule, std::string("default"));
+    out.failure_domain = reader.text("failure_domain", name_rule);
+    out.traffic = reader.text("traffic", address_rule);
+    out.ready = reader.text("ready", address_rule);
+    out.directory = reader.text("directory", address_rule);
+    out.peer = reader.text("peer", address_rule);
+    if (reader.has("metrics"))
+        out.metrics = reader.text("metrics", address_rule);
+    out.store = reader.text("store", address_rule);
+    out.seeds = reader.names("seeds", address_rule, false);
+    out.stop_grace = reader.number("stop_grace_ms", 1000, 600'000, 8000);
+    out.directory_ttl = reader.number("directory_ttl_ms", 100, 60'000, 2000);
+    out.retry_base = reader.number("retry_base", 0, 1'000'000, 100);
+    out.retry_ratio = reader.decimal("retry_ratio", 0, 10, 0.1);
+    out.memory_mb = reader.number("memory_mb", 16, 1'000'000, 128);
+    out.log_level = reader.choice("log_level", log_levels, std::string("info"));
+    reader.finish();
+    if (!faults.empty())
+        return faults.status(document_kind);
+    return out;
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/row_store.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/cluster_rows.hpp"
+#include "galenapulley/endpoint.hpp"
+#include "galenapulley/routing_table.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// Rows that a call to the store returned.
+struct row_batch
+{
+    std::vector<cluster_row> rows{};
+    /// The store's newest version at the time of the answer.
+    std::uint64_t version = 0;
+    /// The store no longer has the history that was asked for.
+    bool history_lost = false;
+};
+
+/// The platform's store. Callbacks run on the control thread, once per call.
+class row_store
+{
+public:
+    using batch_callback = std::function<void(absl::StatusOr<row_batch>)>;
+    using done_callback = std::function<void(absl::Status)>;
+
+    virtual ~row_store() = default;
+
+    /// All rows of a table.
+    virtual void read(cluster_table table, batch_callback done) = 0;
+    /// Changes after a version; waits for one up to `wait`.
+    virtual void watch(cluster_table table, std::uint64_t after, msec wait,
+                       batch_callback done) = 0;
+    /// Peer addresses that nodes have left in the store.
+    virtual void read_nodes(
+        std::function<void(absl::StatusOr<std::vector<std::string>>)> done) = 0;
+    /// Leaves this node's peer address in the store.
+    virtual void write_node(const std::string& node,
+                            const std::string& peer_address,
+                            done_callback done) = 0;
+};
+
+/// Decoded content of the tables.
+class row_codec
+{
+public:
+    virtual ~row_codec() = default;
+
+    /// The configuration in force; null if there is none yet.
+    virtual absl::StatusOr<std::shared_ptr<const routing_table>>
+    read_routing(const cluster_rows& operations) const = 0;
+    /// Failure domains that operators have withdrawn.
+    virtual std::set<std::string>
+    read_withdrawn(const cluster_rows& operations) const = 0;
+    /// Entries that can't be read name no endpoint and are left out; `faulty`
+    /// counts them.
+    virtual std::vector<endpoint> read_endpoints(const cluster_rows& endpoints,
+                                                 std::size_t& faulty) const = 0;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/traffic_server.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "gateway/client_connection.hpp"
+#include "gateway/traffic_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// The traffic thread with its listeners.
+class traffic_server
+{
+public:
+    explicit traffic_server(traffic_state& state);
+    ~traffic_server();
+
+    traffic_server(const traffic_server&) = delete;
+    traffic_server& operator=(const traffic_server&) = delete;
+
+    /// Throws boost::system::system_error if the address can't be bound.
+    void listen(const std::string& address, listener_role role);
+    void start();
+    /// Ends the thread; what is still open breaks off.
+    void stop();
+    /// Runs fn on the traffic thread.
+    void post(std::function<void()> fn);
+    /// Closes kept connections on which no request is being served.
+    void close_idle();
+
+private:
+    boost::asio::awaitable<void> accept(boost::asio::ip::tcp::acceptor& on,
+                                        listener_role role);
+
+    traffic_state& state_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        work_;
+    std::list<boost::asio::ip::tcp::acceptor> acceptors_;
+    std::vector<std::weak_ptr<client_connection>> connections_;
+    std::size_t prune_at_ = 64;
+    std::thread thread_;
+};
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/traffic_state.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "galenapulley/clock.hpp"
+#include "galenapulley/counters.hpp"
+#include "galenapulley/membership.hpp"
+#include "galenapulley/routing_table.hpp"
+#include "gateway/dispatch_port.hpp"
+#include "gateway/event_log.hpp"
+#include "gateway/gateway_metrics.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "gateway/wire_format.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// What all connections of the traffic thread share. Used on that thread only.
+struct traffic_state
+{
+    boost::asio::io_context& io;
+    const gateway_settings& settings;
+    const wire_format& format;
+    const clock& time;
+    dispatch_port& dispatch;
+    event_log& log;
+    counters& count;
+    gateway_metrics& metrics;
+    std::uint64_t next_request = 0;
+
+    /// Null until a configuration is known.
+    std::shared_ptr<const routing_table> routing{};
+    /// Nodes that serve, this one included.
+    std::vector<listed_node> nodes{};
+    bool ready = false;
+    /// The process ends; connections are closed after their answer.
+    bool stopping = false;
+    /// New requests are refused, as a stream would be cut off.
+    bool refusing = false;
+    /// Bytes of request bodies held, and their bound.
+    std::size_t body_bytes = 0;
+    std::size_t body_bytes_limit = 0;
+    std::size_t open_connections = 0;
+    std::size_t open_requests = 0;
+};
+
+} // namespace galenapulley
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -1,10 +1,14 @@
+#include "platform_adapter.hpp"
+
 #include "ctl/ctl.hpp"
 #include "ctl/exit_code.hpp"
+#include "gateway/run_gateway.hpp"
 #include "node/run_node.hpp"
 
 #include <cxxopts.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -17,6 +21,7 @@
 
 constexpr const char* usage = "Usage:\n"
                               "  galenapulley node --config FILE\n"
+                              "  galenapulley gateway [--config FILE]\n"
                               "  galenapulley ctl VERB [OPTION...]\n"
                               "  galenapulley --help | --version\n";
 
@@ -51,11 +56,42 @@
     return run_node(parsed["config"].as<std::string>());
 }
 
+/// The platform names the settings file in this variable.
+constexpr const char* settings_variable = "GALENAPULLEY_SETTINGS";
+
+int run_gateway_command(int argc, char** argv)
+{
+    cxxopts::Options options("galenapulley gateway");
+    // clang-format off
+    options.add_options()
+        ("config", "Settings file (JSON); by default the file that "
+            "GALENAPULLEY_SETTINGS names", cxxopts::value<std::string>(),
+            "FILE")
+        ("h,help", "Show this help");
+    // clang-format on
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0)
+    {
+        std::cout << options.help();
+        return exit_value(exit_code::done);
+    }
+    const char* const named = std::getenv(settings_variable);
+    if (!parsed.unmatched().empty() ||
+        (parsed.count("config") == 0 && named == nullptr))
+        return usage_error("gateway needs --config FILE and nothing else");
+    return run_gateway(parsed.count("config") != 0
+                           ? parsed["config"].as<std::string>()
+                           : std::string(named),
+                       platform::make_adapter());
+}
+
 int run_command(int argc, char** argv)
 {
     const std::string command = argc > 1 ? argv[1] : "";
     if (command == "node")
         return run_node_command(argc - 1, argv + 1);
+    if (command == "gateway")
+        return run_gateway_command(argc - 1, argv + 1);
     if (command == "ctl")
     {
         const std::vector<std::string> args(argv + 2, argv + argc);
--- a/src/node/http_transfer.cpp
+++ b/src/node/http_transfer.cpp
@@ -1,5 +1,9 @@
 #include "node/http_transfer.hpp"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -34,6 +38,30 @@
     return static_cast<long>(std::max(limit, 1_ms));
 }
 
+/// Seconds without an answer until the kernel asks whether the peer is there,
+/// and between such questions; after this many it gives the connection up. A
+/// connection that went silent ends in about three seconds.
+constexpr int probe_after_s = 1;
+constexpr int probe_count = 2;
+/// Sent bytes that stay unacknowledged for so long end the connection.
+constexpr int unacknowledged_limit_ms = 3000;
+
+int set_probes(void* /*client*/, curl_socket_t socket, curlsocktype /*purpose*/)
+{
+    const int on = 1;
+    // A connection without these options still works, only less well.
+    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &probe_after_s,
+                 sizeof probe_after_s);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probe_after_s,
+                 sizeof probe_after_s);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probe_count,
+                 sizeof probe_count);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                 &unacknowledged_limit_ms, sizeof unacknowledged_limit_ms);
+    return CURL_SOCKOPT_OK;
+}
+
 } // namespace
 
 http_transfer::http_transfer(std::uint64_t id, http_call call,
@@ -102,6 +130,7 @@
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, max_connection_age_seconds);
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &set_probes);
     // Proxy settings in the environment don't apply to calls between VMs.
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
 }
