--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -111,6 +111,7 @@
         keep = co_await serve_request(*std::move(request));
         --state_.open_requests;
         serving_ = false;
+        served_ = true;
     }
     boost::system::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -178,7 +179,8 @@
     while (in_.size() == 0)
     {
         const auto left = idle_end - state_.time.now();
-        if (gone_ || state_.stopping || left <= 0)
+        // A new connection still gets its answer while the node stops.
+        if (gone_ || (state_.stopping && served_) || left <= 0)
             co_return std::nullopt;
         co_await wait_for_bytes(left);
     }
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -91,6 +91,8 @@
     bool reading_ = false;
     bool gone_ = false;
     bool serving_ = false;
+    /// A request was answered on this connection.
+    bool served_ = false;
     /// The request being forwarded, to be told that the client has gone.
     forwarding* forwarded_ = nullptr;
 };
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -350,7 +350,10 @@
 {
     const auto at = now();
     if (events_sent_ == 0)
+    {
+        first_event_ms_ = at - request_.received.received_at;
         state_.metrics.observe(request_stage::first_event, at - placed_at_);
+    }
     else
         longest_pause_ = std::max(longest_pause_, at - last_event_at_);
     last_event_at_ = at;
@@ -527,8 +530,7 @@
                 {"last_outcome", name_of(last_outcome_)},
                 {"events", static_cast<std::int64_t>(events_sent_)},
                 {"longest_pause_ms", longest_pause_},
-                {"first_event_ms",
-                 events_sent_ > 0 ? last_event_at_ - placed_at_ : 0}});
+                {"first_event_ms", first_event_ms_}});
 }
 
 } // namespace galenapulley
--- /dev/null
+++ b/tests/gateway/gateway_cancel_test.cpp
@@ -0,0 +1,56 @@
+#include "gateway/one_gateway.hpp"
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+namespace
+{
+
+/// Longest time that an endpoint may still work after its client has left.
+constexpr msec release_limit = 500;
+
+} // namespace
+
+// Guards against endpoints that work for clients who have left.
+BOOST_FIXTURE_TEST_CASE(work_ends_when_the_client_leaves, one_gateway)
+{
+    set_both({.silent = true});
+    wire_client client(gateway->traffic());
+    client.send(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST_REQUIRE(eventually([&] { return arrivals() == 1; }));
+    client.close();
+    BOOST_TEST(
+        (east.wait_for_closed(1, release_limit) || west.wait_for_closed(1, 0)));
+}
+
+// The same with bytes of a next request behind the first.
+BOOST_FIXTURE_TEST_CASE(work_ends_also_behind_a_pipelined_request, one_gateway)
+{
+    set_both({.silent = true});
+    wire_client client(gateway->traffic());
+    client.send(sample_request("POST", "/n/x", "t1") +
+                sample_request("POST", "/n/y", "t2"));
+    BOOST_TEST_REQUIRE(eventually([&] { return arrivals() == 1; }));
+    client.close();
+    BOOST_TEST(
+        (east.wait_for_closed(1, release_limit) || west.wait_for_closed(1, 0)));
+    BOOST_TEST(arrivals() == 1U);
+}
+
+// A place that was given back is free for others: four slots each, so the
+// ninth request needs one of them.
+BOOST_FIXTURE_TEST_CASE(abandoned_requests_free_their_slots, one_gateway)
+{
+    set_both({.silent = true});
+    for (int n = 0; n < 8; ++n)
+    {
+        wire_client client(gateway->traffic());
+        client.send(sample_request("POST", "/n/x", "t" + std::to_string(n)));
+        const auto expected = static_cast<std::size_t>(n) + 1;
+        BOOST_TEST_REQUIRE(eventually([&] { return arrivals() == expected; }));
+        client.close();
+    }
+    set_both({});
+    BOOST_TEST(gateway->call(sample_request("POST", "/n/x", "last")).status ==
+               200);
+}
--- /dev/null
+++ b/tests/gateway/gateway_retry_test.cpp
@@ -0,0 +1,119 @@
+#include "gateway/one_gateway.hpp"
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+// An answer that proves that nothing ran lets another endpoint serve.
+BOOST_FIXTURE_TEST_CASE(a_full_endpoint_is_passed_over, one_gateway)
+{
+    east.set({.full = true});
+    const auto answer = gateway->call(sample_request("GET", "/i/x", "t1"));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.header("Galenapulley-Server-Seal") == "seal-i-west");
+}
+
+// Guards against work for a service that took over an address.
+BOOST_FIXTURE_TEST_CASE(another_incarnation_at_the_address_is_left, one_gateway)
+{
+    east.set({.replaced = true});
+    BOOST_TEST(gateway->call(sample_request("POST", "/n/x", "t1")).status ==
+               200);
+    BOOST_TEST(gateway->call(sample_request("POST", "/n/x", "t2")).status ==
+               200);
+    BOOST_TEST(east.received().size() == 1U);
+    BOOST_TEST(west.runs() == 2U);
+}
+
+// The gravest fault: an action that runs twice.
+BOOST_FIXTURE_TEST_CASE(an_unsafe_request_is_never_sent_twice, one_gateway)
+{
+    set_both({.drops = true});
+    const auto answer = gateway->call(sample_request("POST", "/n/x", "t1"));
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(arrivals() == 1U);
+}
+
+// A refusal is only a promise while nothing can have run.
+BOOST_FIXTURE_TEST_CASE(an_unsafe_request_that_was_refused_has_not_run,
+                        one_gateway)
+{
+    set_both({.full = true});
+    const auto answer = gateway->call(sample_request("POST", "/n/x", "t1"));
+    BOOST_TEST((answer.status == 429 || answer.status == 503));
+    BOOST_TEST(answer.header("Retry-After") != "(none)");
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lookup_is_repeated_after_a_lost_answer, one_gateway)
+{
+    east.set({.drops = true});
+    BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "t1")).status ==
+               200);
+    BOOST_TEST(arrivals() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lookup_is_repeated_after_an_endpoints_error,
+                        one_gateway)
+{
+    east.set({.status = 500});
+    BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "t1")).status ==
+               200);
+    west.set({.status = 500});
+    const auto answer = gateway->call(sample_request("GET", "/i/x", "t2"));
+    BOOST_TEST(answer.status == 500);
+    BOOST_TEST(answer.header("Galenapulley-Server-Seal") != "(none)");
+}
+
+// Guards against a missing, repeated or halved event after a broken stream.
+BOOST_FIXTURE_TEST_CASE(a_broken_stream_goes_on_elsewhere, one_gateway)
+{
+    east.set({.events = 6, .breaks_in = 3});
+    west.set({.events = 6});
+    const auto answer = gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(answer.complete);
+    std::string expected;
+    for (int n = 1; n <= 6; ++n)
+        expected += "id: " + std::to_string(n) +
+                    "\ndata: " + std::to_string(n) + "\n\n";
+    BOOST_TEST(answer.body == expected);
+    BOOST_TEST(west.received().back().header("Last-Event-Id") == "2");
+    BOOST_TEST(answer.header("Galenapulley-Server-Seal") == "seal-i-east");
+}
+
+// An answer that ends early must not look whole.
+BOOST_FIXTURE_TEST_CASE(a_stream_that_cannot_go_on_looks_broken, one_gateway)
+{
+    set_both({.events = 6, .breaks_in = 3});
+    const auto answer = gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(!answer.complete);
+}
+
+// Guards against a client that waits for an endpoint which says nothing.
+BOOST_FIXTURE_TEST_CASE(the_final_answer_comes_at_the_routes_time, one_gateway)
+{
+    set_both({.silent = true});
+    const steady_clock time;
+    const auto begin = time.now();
+    const auto answer =
+        gateway->call(sample_request("POST", "/n/x", "t1", "", "", 1000));
+    BOOST_TEST(answer.status == 504);
+    BOOST_TEST(time.now() - begin >= 1000);
+    BOOST_TEST(time.now() - begin < 1500);
+    BOOST_TEST(arrivals() == 1U);
+}
+
+// Guards against a request that takes down one endpoint after another.
+BOOST_FIXTURE_TEST_CASE(a_request_that_breaks_endpoints_is_refused, one_gateway)
+{
+    set_both({.drops = true});
+    for (int n = 0; n < 4; ++n)
+        gateway->call(sample_request("GET", "/i/x", "t" + std::to_string(n)));
+    BOOST_TEST(arrivals() <= 4U);
+    set_both({});
+    pause_for(1000);
+    BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "t9")).status ==
+               503);
+    BOOST_TEST(gateway->call(sample_request("GET", "/i/y", "t10")).status ==
+               200);
+}
--- /dev/null
+++ b/tests/gateway/gateway_store_test.cpp
@@ -0,0 +1,102 @@
+#include "gateway/one_gateway.hpp"
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+namespace
+{
+
+int status_of(const gateway_process& gateway, const std::string& target)
+{
+    return gateway.call(sample_request("GET", target, "t")).status;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_new_configuration_is_in_force_soon, one_gateway)
+{
+    BOOST_TEST(status_of(*gateway, "/extra/x") == 404);
+    store.put("op", "config", sample_configuration(4, "/extra/"));
+    BOOST_TEST(eventually(
+        [&] { return status_of(*gateway, "/extra/x") == 200; }, 1000));
+}
+
+// Guards against a lost watch: history that was dropped is read anew.
+BOOST_FIXTURE_TEST_CASE(a_lost_history_is_read_anew, one_gateway)
+{
+    store.forget_history();
+    store.put("op", "config", sample_configuration(4, "/extra/"));
+    BOOST_TEST(eventually(
+        [&] { return status_of(*gateway, "/extra/x") == 200; }, 2000));
+}
+
+// Guards against losing the endpoints with the store.
+BOOST_FIXTURE_TEST_CASE(an_outage_of_the_store_stops_nothing, one_gateway)
+{
+    store.set_mode(store_mode::resetting);
+    pause_for(300);
+    east.lapse();
+    west.lapse();
+    BOOST_TEST(status_of(*gateway, "/i/x") == 200);
+    store.set_mode(store_mode::well);
+    pause_for(500);
+    BOOST_TEST(status_of(*gateway, "/i/x") == 200);
+    east.enter();
+    // The entry that doesn't come back names an endpoint that is gone.
+    pause_for(4500);
+    const auto before = west.received().size();
+    for (int n = 0; n < 6; ++n)
+        BOOST_TEST(status_of(*gateway, "/i/x") == 200);
+    BOOST_TEST(west.received().size() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_draining_endpoint_gets_nothing_new, one_gateway)
+{
+    east.enter("draining");
+    pause_for(500);
+    const auto before = east.received().size();
+    for (int n = 0; n < 5; ++n)
+        BOOST_TEST(status_of(*gateway, "/i/x") == 200);
+    BOOST_TEST(east.received().size() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_withdrawn_domain_gets_nothing_until_it_returns,
+                        one_gateway)
+{
+    store.put("op", "evacuate/east", "{}");
+    pause_for(500);
+    for (int n = 0; n < 5; ++n)
+        BOOST_TEST(status_of(*gateway, "/i/x") == 200);
+    BOOST_TEST(east.received().empty());
+    store.remove("op", "evacuate/east");
+    BOOST_TEST(eventually(
+        [&]
+        {
+            status_of(*gateway, "/i/x");
+            return !east.received().empty();
+        }));
+}
+
+// The store turns one node away: the other one passes the rows on.
+BOOST_FIXTURE_TEST_CASE(a_node_without_the_store_follows_its_peer, one_gateway)
+{
+    store_standin dead;
+    dead.set_mode(store_mode::refusing);
+    gateway_process other("n2", "west", dead.address(), {gateway->peer()});
+    BOOST_TEST(other.wait_until_ready(10'000));
+    BOOST_TEST(status_of(other, "/i/x") == 200);
+    store.put("op", "config", sample_configuration(4, "/extra/"));
+    BOOST_TEST(
+        eventually([&] { return status_of(other, "/extra/x") == 200; }, 3000));
+}
+
+// A process that knows no configuration must not call a route unknown.
+BOOST_AUTO_TEST_CASE(nothing_is_served_before_a_configuration_is_known)
+{
+    store_standin store;
+    store.set_mode(store_mode::refusing);
+    gateway_process gateway("n1", "east", store.address(), {});
+    BOOST_TEST(
+        eventually([&] { return gateway.ready_status() == 503; }, 10'000));
+    BOOST_TEST(status_of(gateway, "/i/x") == 503);
+}
--- /dev/null
+++ b/tests/platform/endpoint_standin.cpp
@@ -0,0 +1,162 @@
+#include "platform/endpoint_standin.hpp"
+
+#include "support/child_process.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace galenapulley::testing
+{
+
+std::string received_request::header(const std::string& name) const
+{
+    const auto it = headers.find(name);
+    return it == headers.end() ? "(none)" : it->second;
+}
+
+endpoint_standin::endpoint_standin(store_standin& store, std::string id,
+                                   std::string service, std::string zone,
+                                   endpoint_behaviour behaviour)
+    : store_(store)
+    , id_(std::move(id))
+    , service_(std::move(service))
+    , zone_(std::move(zone))
+    , behaviour_(std::move(behaviour))
+    , server_([this](wire_socket& socket, const wire_request& request)
+              { return serve(socket, request); })
+{
+    enter();
+}
+
+void endpoint_standin::set(endpoint_behaviour behaviour)
+{
+    const std::lock_guard lock(mutex_);
+    behaviour_ = std::move(behaviour);
+}
+
+void endpoint_standin::enter(const std::string& state)
+{
+    store_.put("servers", id_,
+               nlohmann::json{{"Service", service_},
+                              {"Address", server_.address()},
+                              {"Zone", zone_},
+                              {"Version", "v1"},
+                              {"Slots", 4},
+                              {"State", state},
+                              {"ColdRemainingMs", 0},
+                              {"Sequence", 1},
+                              {"born", 1}}
+                   .dump());
+}
+
+void endpoint_standin::lapse()
+{
+    store_.remove("servers", id_);
+}
+
+std::vector<received_request> endpoint_standin::received() const
+{
+    const std::lock_guard lock(mutex_);
+    return received_;
+}
+
+std::size_t endpoint_standin::runs() const
+{
+    const std::lock_guard lock(mutex_);
+    std::size_t n = 0;
+    for (const auto& it : received_)
+        n += it.run ? 1 : 0;
+    return n;
+}
+
+bool endpoint_standin::wait_for_closed(std::size_t n, msec limit)
+{
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, std::chrono::milliseconds(limit),
+                             [&] { return closed_ >= n; });
+}
+
+std::string endpoint_standin::head(const wire_request& request,
+                                   int status) const
+{
+    std::string out = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
+    out += "Galenapulley-Attempt-Id: " +
+           std::string(request["Galenapulley-Attempt-Id"]) + "\r\n";
+    return out + "Galenapulley-Server-Seal: seal-" + id_ + "\r\n";
+}
+
+bool endpoint_standin::serve(wire_socket& socket, const wire_request& request)
+{
+    endpoint_behaviour how;
+    {
+        const std::lock_guard lock(mutex_);
+        how = behaviour_;
+        received_request item{.method = std::string(request.method_string()),
+                              .target = std::string(request.target()),
+                              .body = request.body(),
+                              .run = !how.full && !how.replaced};
+        for (const auto& it : request)
+            item.headers.emplace(it.name_string(), it.value());
+        received_.push_back(std::move(item));
+    }
+    if (how.replaced)
+        return write_bytes(socket,
+                           "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
+    if (how.full)
+        return write_bytes(socket,
+                           "HTTP/1.1 503 X\r\nGalenapulley-Not-Executed: 1\r\n"
+                           "Content-Length: 0\r\n\r\n");
+    if (how.drops)
+        return false;
+    if (how.silent)
+    {
+        wait_for_close(socket);
+        return false;
+    }
+    if (how.events > 0)
+        return stream(socket, request, how);
+    return write_bytes(socket, head(request, how.status) +
+                                   "X-Made: a\r\nX-Made: b\r\n"
+                                   "Content-Length: " +
+                                   std::to_string(how.body.size()) +
+                                   "\r\n\r\n" + how.body);
+}
+
+bool endpoint_standin::stream(wire_socket& socket, const wire_request& request,
+                              const endpoint_behaviour& how)
+{
+    if (!write_bytes(socket, head(request, 200) +
+                                 "Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n"))
+        return false;
+    const std::string after(request["Last-Event-Id"]);
+    auto id = after.empty() ? 1 : std::stoull(after) + 1;
+    for (; id <= how.events; ++id)
+    {
+        const auto event = "id: " + std::to_string(id) +
+                           "\ndata: " + std::to_string(id) + "\n\n";
+        const bool breaks = id == how.breaks_in;
+        const auto part = breaks ? event.substr(0, event.size() / 2) : event;
+        std::ostringstream chunk;
+        chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
+        if (!write_bytes(socket, chunk.str()) || breaks)
+            return false;
+        if (how.event_pause > 0)
+            pause_for(how.event_pause);
+    }
+    return write_bytes(socket, "0\r\n\r\n");
+}
+
+void endpoint_standin::wait_for_close(wire_socket& socket)
+{
+    char byte = 0;
+    boost::system::error_code ec;
+    socket.read_some(boost::asio::buffer(&byte, 1), ec);
+    const std::lock_guard lock(mutex_);
+    closed_ += ec ? 1 : 0;
+    changed_.notify_all();
+}
+
+} // namespace galenapulley::testing
--- /dev/null
+++ b/tests/platform/store_standin.cpp
@@ -0,0 +1,219 @@
+#include "platform/store_standin.hpp"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace galenapulley::testing
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+std::string decoded(std::string_view text)
+{
+    std::string out;
+    for (std::size_t n = 0; n < text.size(); ++n)
+    {
+        if (text[n] != '%' || n + 2 >= text.size() + 0)
+        {
+            out += text[n];
+            continue;
+        }
+        out += static_cast<char>(
+            std::stoi(std::string(text.substr(n + 1, 2)), nullptr, 16));
+        n += 2;
+    }
+    return out;
+}
+
+std::map<std::string, std::string> query_of(std::string_view target)
+{
+    std::map<std::string, std::string> out;
+    const auto mark = target.find('?');
+    auto rest = mark == std::string_view::npos ? std::string_view()
+                                               : target.substr(mark + 1);
+    while (!rest.empty())
+    {
+        const auto pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        const auto equals = pair.find('=');
+        if (equals != std::string_view::npos)
+            out[std::string(pair.substr(0, equals))] =
+                decoded(pair.substr(equals + 1));
+    }
+    return out;
+}
+
+} // namespace
+
+store_standin::store_standin()
+    : server_([this](wire_socket& socket, const wire_request& request)
+              { return serve(socket, request); })
+{
+}
+
+store_standin::~store_standin()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    server_.stop();
+}
+
+void store_standin::put(const std::string& table, const std::string& key,
+                        const std::string& value)
+{
+    const std::lock_guard lock(mutex_);
+    rows_[{table, key}] = {.value = value, .version = ++version_};
+    changed_.notify_all();
+}
+
+void store_standin::remove(const std::string& table, const std::string& key)
+{
+    const std::lock_guard lock(mutex_);
+    rows_[{table, key}] = {.version = ++version_, .deleted = true};
+    changed_.notify_all();
+}
+
+void store_standin::forget_history()
+{
+    const std::lock_guard lock(mutex_);
+    history_from_ = ++version_;
+    changed_.notify_all();
+}
+
+void store_standin::set_mode(store_mode mode)
+{
+    const std::lock_guard lock(mutex_);
+    mode_ = mode;
+    changed_.notify_all();
+}
+
+std::uint64_t store_standin::calls() const
+{
+    const std::lock_guard lock(mutex_);
+    return calls_;
+}
+
+bool store_standin::serve(wire_socket& socket, const wire_request& request)
+{
+    const std::string target(request.target());
+    const auto path = target.substr(0, target.find('?'));
+    const auto query = query_of(target);
+    {
+        const std::lock_guard lock(mutex_);
+        ++calls_;
+        if (mode_ == store_mode::resetting)
+            return false;
+        if (mode_ == store_mode::refusing)
+            return write_json(socket, 503, "{}");
+    }
+    if (path == "/galenapulley/rows-get")
+        return write_json(socket, 200, get_rows(query));
+    std::pair<int, std::string> out{404, "{}"};
+    if (path == "/galenapulley/rows-feed")
+        out = watch_rows(query);
+    else if (path == "/galenapulley/rows-tx")
+        out = change_rows(request.body());
+    return out.first != 0 && write_json(socket, out.first, out.second);
+}
+
+std::string store_standin::answer(const std::vector<row_key>& keys)
+{
+    json list = json::array();
+    for (const auto& key : keys)
+    {
+        const auto& it = rows_.at(key);
+        json entry{{"Table", key.first},
+                   {"part", ""},
+                   {"Key", key.second},
+                   {"Ver", it.version}};
+        if (it.deleted)
+            entry["Deleted"] = true;
+        else
+            entry["Value"] = absl::Base64Escape(it.value);
+        list.push_back(entry);
+    }
+    return json{
+        {"Rows", list}, {"HasMore", false}, {"Ver", version_}, {"NowMs", 1}}
+        .dump();
+}
+
+std::string
+store_standin::get_rows(const std::map<std::string, std::string>& query)
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<row_key> keys;
+    const auto from = query.contains("From") ? query.at("From") : "";
+    for (const auto& [key, it] : rows_)
+        if (key.first == query.at("Table") && key.second >= from && !it.deleted)
+            keys.push_back(key);
+    return answer(keys);
+}
+
+std::pair<int, std::string>
+store_standin::watch_rows(const std::map<std::string, std::string>& query)
+{
+    std::unique_lock lock(mutex_);
+    const auto after = std::stoull(query.at("After"));
+    const auto changes = [&]
+    {
+        std::vector<std::pair<std::uint64_t, row_key>> found;
+        for (const auto& [key, it] : rows_)
+            if (key.first == query.at("Table") && it.version > after)
+                found.emplace_back(it.version, key);
+        std::sort(found.begin(), found.end());
+        std::vector<row_key> keys;
+        for (const auto& it : found)
+            keys.push_back(it.second);
+        return keys;
+    };
+    const auto interrupted = [&]
+    {
+        return stopping_ || mode_ != store_mode::well || after < history_from_;
+    };
+    changed_.wait_for(lock,
+                      std::chrono::milliseconds(std::stoi(query.at("WaitMs"))),
+                      [&] { return interrupted() || !changes().empty(); });
+    if (stopping_ || mode_ == store_mode::resetting)
+        return {0, ""};
+    if (mode_ == store_mode::refusing)
+        return {503, "{}"};
+    if (after < history_from_)
+        return {410, "{}"};
+    return {200, answer(changes())};
+}
+
+std::pair<int, std::string> store_standin::change_rows(const std::string& body)
+{
+    const std::lock_guard lock(mutex_);
+    const auto call = json::parse(body);
+    for (const auto& it : call.at("Precondition"))
+    {
+        const row_key key{it.at("Table"), it.at("Key")};
+        const auto known = rows_.find(key);
+        const auto version = known == rows_.end() || known->second.deleted
+                                 ? 0
+                                 : known->second.version;
+        if (version != it.at("Ver").get<std::uint64_t>())
+            return {412, answer({})};
+    }
+    ++version_;
+    for (const auto& it : call.at("Upserts"))
+    {
+        std::string value;
+        absl::Base64Unescape(it.at("Value").get<std::string>(), &value);
+        rows_[{it.at("Table"), it.at("Key")}] = {.value = value,
+                                                 .version = version_};
+    }
+    changed_.notify_all();
+    return {200, answer({})};
+}
+
+} // namespace galenapulley::testing
--- /dev/null
+++ b/tests/platform/store_standin.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "platform/wire_server.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenapulley::testing
+{
+
+/// How the store behaves.
+enum class store_mode
+{
+    well,
+    /// Answers 503 to every call.
+    refusing,
+    /// Breaks every connection off.
+    resetting
+};
+
+/// Stand-in of the platform's store, in the platform's protocol.
+class store_standin
+{
+public:
+    store_standin();
+    ~store_standin();
+
+    std::string address() const { return server_.address(); }
+    void put(const std::string& table, const std::string& key,
+             const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+    /// Forgets the history, so that a watch from before is told so.
+    void forget_history();
+    void set_mode(store_mode mode);
+    std::uint64_t calls() const;
+
+private:
+    struct row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool deleted = false;
+    };
+    using row_key = std::pair<std::string, std::string>;
+
+    bool serve(wire_socket& socket, const wire_request& request);
+    std::string get_rows(const std::map<std::string, std::string>& query);
+    /// Status and body.
+    std::pair<int, std::string>
+    watch_rows(const std::map<std::string, std::string>& query);
+    std::pair<int, std::string> change_rows(const std::string& body);
+    std::string answer(const std::vector<row_key>& keys);
+
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<row_key, row> rows_;
+    std::uint64_t version_ = 100;
+    std::uint64_t history_from_ = 0;
+    std::uint64_t calls_ = 0;
+    store_mode mode_ = store_mode::well;
+    bool stopping_ = false;
+    wire_server server_;
+};
+
+} // namespace galenapulley::testing
--- /dev/null
+++ b/tests/platform/wire_server.cpp
@@ -0,0 +1,97 @@
+#include "platform/wire_server.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+#include <limits>
+#include <utility>
+
+namespace galenapulley::testing
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+wire_server::wire_server(handler serve)
+    : serve_(std::move(serve))
+    , acceptor_(io_, {asio::ip::address_v4::loopback(), 0})
+{
+    const auto local = acceptor_.local_endpoint();
+    address_ = "127.0.0.1:" + std::to_string(local.port());
+    accepting_ = std::thread([this] { accept(); });
+}
+
+wire_server::~wire_server()
+{
+    stop();
+}
+
+void wire_server::stop()
+{
+    if (stopped_.exchange(true))
+        return;
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    accepting_.join();
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto& it : sockets_)
+            if (const auto socket = it.lock())
+                ::shutdown(socket->native_handle(), SHUT_RDWR);
+    }
+    for (auto& it : threads_)
+        it.join();
+}
+
+void wire_server::accept()
+{
+    while (!stopped_)
+    {
+        boost::system::error_code ec;
+        auto socket = std::make_shared<wire_socket>(io_);
+        acceptor_.accept(*socket, ec);
+        if (ec)
+            return;
+        const std::lock_guard lock(mutex_);
+        sockets_.push_back(socket);
+        threads_.emplace_back([this, socket] { serve_connection(socket); });
+    }
+}
+
+void wire_server::serve_connection(const std::shared_ptr<wire_socket>& socket)
+{
+    boost::beast::flat_buffer buf;
+    for (bool open = true; open && !stopped_;)
+    {
+        boost::system::error_code ec;
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        http::read(*socket, buf, parser, ec);
+        open = !ec && serve_(*socket, parser.get());
+    }
+    boost::system::error_code ignored;
+    socket->shutdown(wire_socket::shutdown_both, ignored);
+}
+
+bool write_bytes(wire_socket& socket, const std::string& bytes)
+{
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(bytes), ec);
+    return !ec;
+}
+
+bool write_json(wire_socket& socket, int status, const std::string& body)
+{
+    return write_bytes(socket, "HTTP/1.1 " + std::to_string(status) +
+                                   " X\r\nContent-Type: application/json\r\n"
+                                   "Content-Length: " +
+                                   std::to_string(body.size()) + "\r\n\r\n" +
+                                   body);
+}
+
+} // namespace galenapulley::testing
--- /dev/null
+++ b/tests/unit/cluster_rows_test.cpp
@@ -0,0 +1,53 @@
+#include "galenapulley/cluster_rows.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace galenapulley;
+
+namespace
+{
+
+cluster_row row(std::string key, std::string value, std::uint64_t version,
+                bool deleted = false)
+{
+    return {.key = std::move(key),
+            .value = std::move(value),
+            .version = version,
+            .deleted = deleted};
+}
+
+} // namespace
+
+// Guards against a configuration that goes back: after a loss of history the
+// store's reads may be seconds old.
+BOOST_AUTO_TEST_CASE(an_older_copy_never_replaces_a_newer_one)
+{
+    cluster_rows rows;
+    BOOST_TEST(rows.replace({row("config", "new", 9)}, 10));
+    BOOST_TEST(!rows.replace({row("config", "old", 3)}, 8));
+    BOOST_TEST(rows.rows().at("config").value == "new");
+    BOOST_TEST(rows.version() == 10U);
+}
+
+// Guards against an answer that overtakes another one.
+BOOST_AUTO_TEST_CASE(changes_that_are_known_already_are_passed_over)
+{
+    cluster_rows rows;
+    rows.replace({row("a", "2", 9)}, 10);
+    BOOST_TEST(rows.apply({row("a", "1", 5), row("b", "3", 12)}, 4, 12));
+    BOOST_TEST(rows.rows().at("a").value == "2");
+    BOOST_TEST(rows.rows().at("b").value == "3");
+    BOOST_TEST(rows.apply({row("a", "", 14, true)}, 12, 14));
+    BOOST_TEST(!rows.rows().contains("a"));
+}
+
+// Guards against a gap: changes after a version that this copy hasn't reached
+// would leave out what lies between.
+BOOST_AUTO_TEST_CASE(changes_behind_a_gap_are_refused)
+{
+    cluster_rows rows;
+    BOOST_TEST(!rows.apply({row("a", "1", 5)}, 4, 5));
+    rows.replace({}, 3);
+    BOOST_TEST(!rows.apply({row("a", "1", 5)}, 4, 5));
+    BOOST_TEST(rows.version() == 3U);
+}
--- /dev/null
+++ b/tests/unit/engine_profile_test.cpp
@@ -0,0 +1,59 @@
+#include "galenapulley/engine_profile.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace galenapulley;
+
+namespace
+{
+
+engine_profile sample()
+{
+    return {.slots = 16,
+            .memory_tokens = 405'000,
+            .step_ms = 1.31,
+            .writer_ms = 0.000917,
+            .context_ms_per_1k = 0.00213,
+            .read_tokens_per_ms = 154,
+            .pairs_ms_per_million = 0.162,
+            .chunk_tokens = 2048,
+            .steps_per_pass = 34,
+            .hop_ms = 0.1};
+}
+
+} // namespace
+
+// Guards against a cost model that forgets the pairs: a long prompt would be
+// expected after a third of its time.
+BOOST_AUTO_TEST_CASE(a_long_read_grows_faster_than_its_tokens)
+{
+    const auto engine = sample();
+    const auto one = engine.read_ms(182'000);
+    BOOST_TEST(one > 3800);
+    BOOST_TEST(one < 4100);
+    BOOST_TEST(engine.read_ms(364'000) > 3 * one);
+}
+
+BOOST_AUTO_TEST_CASE(a_pass_with_writers_has_all_its_steps)
+{
+    const auto engine = sample();
+    const auto alone = engine.pass_ms(1, 5000);
+    BOOST_TEST(alone > 34 * 1.31);
+    BOOST_TEST(alone < 34 * 1.31 + 2);
+    // Sixteen writers with short contexts cost a tenth more, not sixteen times.
+    BOOST_TEST(engine.pass_ms(16, 16 * 5000.0) < 1.2 * alone);
+    BOOST_TEST(engine.write_ms(34, 1, 5000) == alone,
+               boost::test_tools::tolerance(1e-9));
+}
+
+// Guards against counting a whole long read as one pause: an engine reads at
+// most one chunk in each step.
+BOOST_AUTO_TEST_CASE(a_pass_holds_a_bounded_part_of_a_read)
+{
+    const auto engine = sample();
+    const double tokens = 182'000;
+    const double whole = engine.read_ms(tokens);
+    const double most = engine.longest_read_in_pass_ms(whole, tokens);
+    BOOST_TEST(most < whole / 2);
+    BOOST_TEST(engine.longest_read_in_pass_ms(30, 5000) == 30);
+}
--- /dev/null
+++ b/tests/unit/fleet_load_test.cpp
@@ -0,0 +1,117 @@
+#include "galenapulley/fleet_load.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <map>
+
+using namespace galenapulley;
+
+namespace
+{
+
+placed_work work(std::uint64_t request, std::string node,
+                 std::vector<endpoint_key> endpoints, double part_ms)
+{
+    return {.request = request,
+            .node = std::move(node),
+            .endpoints = std::move(endpoints),
+            .prompt_tokens = 1000,
+            .output_tokens = 100,
+            .part_ms = part_ms,
+            .gap_target = 250,
+            .value = 1};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(reads_queue_behind_each_other)
+{
+    fleet_load load;
+    load.add(work(1, "n1", {7, 8}, 400), 1000);
+    load.add(work(2, "n2", {7}, 30), 1000);
+    BOOST_TEST(load.load_of(7, 1000).backlog_ms == 430);
+    BOOST_TEST(load.load_of(8, 1100).backlog_ms == 300);
+    BOOST_TEST(load.load_of(7, 1000).running == 2U);
+    BOOST_TEST(load.load_of(8, 1000).running == 0U);
+    BOOST_TEST(load.load_of(8, 1000).helping == 1U);
+}
+
+// Guards against a backlog that stays after its read is done: endpoints would
+// look busy and requests would wait for nothing.
+BOOST_AUTO_TEST_CASE(a_first_event_ends_the_read)
+{
+    fleet_load load;
+    load.add(work(1, "n1", {7, 8}, 400), 1000);
+    load.add(work(2, "n2", {7}, 30), 1000);
+    load.on_first_event(1, 1200);
+    BOOST_TEST(load.load_of(7, 1200).backlog_ms == 30);
+    BOOST_TEST(load.load_of(8, 1200).backlog_ms == 0);
+    BOOST_TEST(load.load_of(7, 1200).reading == 1U);
+    BOOST_TEST(load.load_of(8, 1200).helping == 0U);
+}
+
+// Guards against slots that stay taken by a node that died.
+BOOST_AUTO_TEST_CASE(a_lost_node_leaves_nothing)
+{
+    fleet_load load;
+    load.add(work(1, "n1", {7}, 400), 1000);
+    load.add(work(2, "n2", {7}, 30), 1000);
+    load.remove_node("n1", 1000);
+    BOOST_TEST(load.load_of(7, 1000).running == 1U);
+    BOOST_TEST(load.size() == 1U);
+}
+
+// Guards against lost announcements: a complete list repairs what was missed.
+BOOST_AUTO_TEST_CASE(a_complete_list_replaces_a_nodes_work)
+{
+    fleet_load load;
+    load.add(work(1, "n1", {7}, 10), 1000);
+    load.add(work(2, "n1", {7}, 10), 1000);
+    load.replace_node("n1", {work(2, "n1", {7}, 10), work(3, "n1", {8}, 10)},
+                      1000);
+    BOOST_TEST(load.load_of(7, 1000).running == 1U);
+    BOOST_TEST(load.load_of(8, 1000).running == 1U);
+    BOOST_TEST(load.find(1) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(placements_of_the_last_second_are_counted)
+{
+    fleet_load load;
+    load.add(work(1, "n1", {7, 8}, 10), 1000);
+    load.add(work(2, "n1", {7}, 10), 1600);
+    BOOST_TEST(load.load_of(7, 1700).recent == 2U);
+    BOOST_TEST(load.load_of(8, 1700).recent == 0U);
+    BOOST_TEST(load.load_of(7, 2100).recent == 1U);
+}
+
+// Differential: running requests against a naive recount.
+RC_BOOST_PROP(running_equals_a_naive_count,
+              (const std::vector<std::uint16_t>& ops))
+{
+    fleet_load load;
+    std::map<std::uint64_t, endpoint_key> naive;
+    for (const auto op : ops)
+    {
+        const std::uint64_t request = op % 13;
+        const endpoint_key key = 1 + op % 3;
+        if (op % 2 == 0)
+        {
+            load.add(work(request, "n1", {key}, 5), 0);
+            naive[request] = key;
+        }
+        else
+        {
+            load.remove(request, 0);
+            naive.erase(request);
+        }
+        for (endpoint_key it = 1; it <= 3; ++it)
+        {
+            const auto count = std::count_if(naive.begin(), naive.end(),
+                                             [it](const auto& entry)
+                                             { return entry.second == it; });
+            RC_ASSERT(load.load_of(it, 0).running ==
+                      static_cast<std::uint32_t>(count));
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/gateway_settings_test.cpp
@@ -0,0 +1,46 @@
+#include "gateway/gateway_settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace galenapulley;
+
+namespace
+{
+
+std::string sample(const std::string& extra = "")
+{
+    return R"({"node":"n1","failure_domain":"east","traffic":"10.0.0.1:80",
+"ready":"10.0.0.1:81","directory":"10.0.0.1:82","peer":"10.0.0.1:83",
+"store":"10.0.0.9:90","seeds":["10.0.0.2:83"])" +
+           extra + "}";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(settings_are_read_with_defaults)
+{
+    const auto settings = parse_gateway_settings(
+        sample(R"(,"retry_ratio":0.2,"stop_grace_ms":9000)"));
+    BOOST_TEST_REQUIRE(settings.ok());
+    BOOST_TEST(settings->node == "n1");
+    BOOST_TEST(settings->retry_ratio == 0.2);
+    BOOST_TEST(settings->stop_grace == 9000);
+    BOOST_TEST(settings->seeds.size() == 1U);
+    BOOST_TEST(settings->metrics.empty());
+}
+
+// Guards against a node that starts with a setting it misread.
+BOOST_AUTO_TEST_CASE(faults_are_named)
+{
+    const auto unknown = parse_gateway_settings(sample(R"(,"retry":1)"));
+    BOOST_TEST(!unknown.ok());
+    const auto wrong =
+        parse_gateway_settings(sample(R"(,"retry_ratio":"much")"));
+    BOOST_TEST_REQUIRE(!wrong.ok());
+    BOOST_TEST(std::string(wrong.status().message()).find("retry_ratio") !=
+               std::string::npos);
+    BOOST_TEST(!parse_gateway_settings("{}").ok());
+    BOOST_TEST(!parse_gateway_settings("node = 1").ok());
+}
--- /dev/null
+++ b/tests/unit/platform_codec_test.cpp
@@ -0,0 +1,103 @@
+#include "platform_codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace galenapulley;
+using galenapulley::platform::platform_codec;
+
+namespace
+{
+
+cluster_rows operations(const std::string& configuration)
+{
+    cluster_rows rows;
+    rows.replace({{.key = "config", .value = configuration, .version = 3},
+                  {.key = "evacuate/east", .value = "{}", .version = 4}},
+                 5);
+    return rows;
+}
+
+constexpr const char* configuration =
+    R"({"Version":7,"Routes":[{"Name":"r","Host":"a.example","Prefix":"/x/",
+"Kind":"streaming","TimeoutMs":9000,"TargetLatencyMs":300,"Priority":1,
+"TrafficSplit":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}],
+"MaxAttempts":2,"Resumable":true,"GapAimMs":250}],
+"Services":[{"Name":"s","ColdPerS":36.0,"Engine":{"Slots":16,
+"KvCapacityTokens":405000,"read_per_s":154000.0,"Stride":34,"chunk":2048}}],
+"Limits":{"MaxHeaderBytes":1000,"IdleTimeoutMs":15000},
+"Tenants":[{"Name":"club","ApiKeys":["k"],"Priority":0}]})";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read)
+{
+    const auto table = platform_codec().read_routing(operations(configuration));
+    BOOST_TEST_REQUIRE(table.ok());
+    const auto* const way = (*table)->find("a.example", "/x/1");
+    BOOST_TEST_REQUIRE(way != nullptr);
+    BOOST_TEST(way->timeout == 9000);
+    BOOST_TEST(way->repeatable());
+    BOOST_TEST(way->services.size() == 2U);
+    const auto* const service = (*table)->service("s");
+    BOOST_TEST(service->cold_rate == 36);
+    BOOST_TEST(service->engine->read_tokens_per_ms == 154);
+    BOOST_TEST(*(*table)->account_of("k")->priority == 0);
+    BOOST_TEST((*table)->limits().header_bytes == 1000U);
+}
+
+// Guards against a repeat of a request whose kind this version doesn't know.
+BOOST_AUTO_TEST_CASE(an_unknown_kind_is_never_repeated)
+{
+    std::string text(configuration);
+    text.replace(text.find("streaming"), 9, "something");
+    const auto table = platform_codec().read_routing(operations(text));
+    BOOST_TEST_REQUIRE(table.ok());
+    BOOST_TEST(!(*table)->find("a.example", "/x/1")->repeatable());
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_that_cannot_be_read_is_reported)
+{
+    BOOST_TEST(!platform_codec().read_routing(operations("{")).ok());
+    BOOST_TEST(!platform_codec()
+                    .read_routing(operations(R"({"Version":1,
+"Routes":[{"Name":"r"}]})"))
+                    .ok());
+    BOOST_TEST(*platform_codec().read_routing(cluster_rows()) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(withdrawn_domains_are_read)
+{
+    const auto names = platform_codec().read_withdrawn(operations("{}"));
+    BOOST_TEST(names.size() == 1U);
+    BOOST_TEST(names.contains("east"));
+}
+
+// Guards against work for an endpoint that another writer made up.
+BOOST_AUTO_TEST_CASE(entries_of_other_writers_name_no_endpoint)
+{
+    const std::string good =
+        R"({"Service":"s","Address":"10.0.0.1:80","Zone":"east","Slots":16,
+"State":"ready","ColdRemainingMs":1200,"born":5})";
+    const auto changed = [&](const std::string& from, const std::string& to)
+    {
+        auto text = good;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    cluster_rows rows;
+    rows.replace(
+        {{.key = "a", .value = good, .version = 1},
+         {.key = "b", .value = "\xff\x00", .version = 1},
+         {.key = "c", .value = changed("ready", "tired"), .version = 1},
+         {.key = "d", .value = changed("16", "\"16\""), .version = 1},
+         {.key = "e",
+          .value = changed("\"Zone\":\"east\",", ""),
+          .version = 1}},
+        2);
+    std::size_t faulty = 0;
+    const auto endpoints = platform_codec().read_endpoints(rows, faulty);
+    BOOST_TEST_REQUIRE(endpoints.size() == 1U);
+    BOOST_TEST(faulty == 4U);
+    BOOST_TEST(endpoints[0].id == "a");
+    BOOST_TEST(endpoints[0].cold_left == 1200);
+    BOOST_TEST(endpoints[0].born == 5);
+}
--- /dev/null
+++ b/tests/unit/platform_format_test.cpp
@@ -0,0 +1,133 @@
+#include "platform_format.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace galenapulley;
+using galenapulley::platform::platform_format;
+
+namespace
+{
+
+header_list sample()
+{
+    return {{"Host", "a.example"},
+            {"Galenapulley-Attempt-Id", "9c41"},
+            {"Galenapulley-Token-Usage", "1460,80"},
+            {"Galenapulley-Deadline-Ms", "10000"},
+            {"X-Api-Key", "secret"},
+            {"X-Note", "one"},
+            {"x-note", "two"},
+            {"Connection", "keep-alive, X-Hop"},
+            {"X-Hop", "mine"},
+            {"galenapulley-tenant", "forged"},
+            {"Galenapulley-Expect-Instance", "forged"},
+            {"Galenapulley-Helpers", "10.0.0.9:1"},
+            {"Last-Event-Id", "12"}};
+}
+
+std::size_t count(const header_list& headers, const std::string& name)
+{
+    return static_cast<std::size_t>(
+        std::count_if(headers.begin(), headers.end(),
+                      [&](const auto& it) { return it.first == name; }));
+}
+
+std::string value(const header_list& headers, const std::string& name)
+{
+    for (const auto& it : headers)
+        if (it.first == name)
+            return it.second;
+    return "(none)";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_is_read)
+{
+    const auto facts = platform_format().read_request(sample());
+    BOOST_TEST_REQUIRE(facts.ok());
+    BOOST_TEST(facts->attempt == "9c41");
+    BOOST_TEST(facts->prompt_tokens == 1460);
+    BOOST_TEST(facts->max_output_tokens == 80);
+    BOOST_TEST(*facts->deadline == 10'000);
+    BOOST_TEST(facts->api_key == "secret");
+    BOOST_TEST(*facts->last_event == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_are_not_clear_are_refused)
+{
+    const platform_format format;
+    BOOST_TEST(!format.read_request({}).ok());
+    auto twice = sample();
+    twice.emplace_back("galenapulley-attempt-id", "other");
+    BOOST_TEST(!format.read_request(twice).ok());
+    auto keys = sample();
+    keys.emplace_back("x-api-key", "other");
+    BOOST_TEST(!format.read_request(keys).ok());
+    auto deadline = sample();
+    deadline[3].second = "soon";
+    BOOST_TEST(!format.read_request(deadline).ok());
+}
+
+// Guards against a client that names itself as another account, sends its key
+// on, or chooses the endpoints itself.
+BOOST_AUTO_TEST_CASE(the_systems_headers_are_its_own)
+{
+    const auto headers = platform_format().endpoint_headers(
+        sample(), {.endpoint = "i-1", .account = "club", .time_left = 900});
+    BOOST_TEST(count(headers, "X-Api-Key") == 0U);
+    BOOST_TEST(count(headers, "galenapulley-tenant") == 0U);
+    BOOST_TEST(value(headers, "Galenapulley-Tenant") == "club");
+    BOOST_TEST(value(headers, "Galenapulley-Expect-Instance") == "i-1");
+    BOOST_TEST(value(headers, "Galenapulley-Deadline-Ms") == "900");
+    BOOST_TEST(count(headers, "Galenapulley-Helpers") == 0U);
+    BOOST_TEST(count(headers, "X-Hop") == 0U);
+    BOOST_TEST(count(headers, "Connection") == 0U);
+    BOOST_TEST(value(headers, "Last-Event-Id") == "12");
+    BOOST_TEST(value(headers, "X-Note") == "one");
+    BOOST_TEST(value(headers, "x-note") == "two");
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_names_its_last_event_and_helpers)
+{
+    const auto headers = platform_format().endpoint_headers(
+        sample(), {.endpoint = "i-1",
+                   .time_left = 900,
+                   .last_event = 40,
+                   .helpers = {{"10.0.0.2:80", ""}, {"10.0.0.3:80", "t1"}}});
+    BOOST_TEST(value(headers, "Last-Event-Id") == "40");
+    BOOST_TEST(count(headers, "Last-Event-Id") == 1U);
+    BOOST_TEST(value(headers, "Galenapulley-Helpers") ==
+               "10.0.0.2:80,10.0.0.3:80/t1");
+    BOOST_TEST(count(headers, "Galenapulley-Tenant") == 0U);
+}
+
+// Guards against "not run" for a request that ran: only these answers prove it.
+BOOST_AUTO_TEST_CASE(only_some_answers_prove_that_nothing_ran)
+{
+    const platform_format format;
+    const header_list proof{{"Galenapulley-Not-Executed", "1"}};
+    BOOST_TEST(format.read_answer(503, proof).not_run);
+    BOOST_TEST(!format.read_answer(503, {}).not_run);
+    BOOST_TEST(!format.read_answer(500, proof).not_run);
+    BOOST_TEST(!format.read_answer(200, proof).not_run);
+    BOOST_TEST(format.read_answer(421, {}).replaced);
+    BOOST_TEST(
+        format.read_answer(200, {{"Galenapulley-Server-Seal", "x"}}).sealed);
+}
+
+BOOST_AUTO_TEST_CASE(the_directory_answers_in_the_platforms_form)
+{
+    const platform_format format;
+    const auto query = format.read_directory_query(
+        "/galenapulley/resolve?Name=a.example&Region=r&Zone=east");
+    BOOST_TEST_REQUIRE(query.has_value());
+    BOOST_TEST(query->failure_domain == "east");
+    BOOST_TEST(!format.read_directory_query("/other").has_value());
+    BOOST_TEST(format.directory_answer({"10.0.0.1:80"}, 2000) ==
+               R"({"Addresses":["10.0.0.1:80"],"TtlS":2.0})");
+    BOOST_TEST(format.is_ready_check("/galenapulley/ready"));
+    BOOST_TEST(!format.is_ready_check("/galenapulley/readyx"));
+}
--- /dev/null
+++ b/tests/unit/prompt_placement_test.cpp
@@ -0,0 +1,147 @@
+#include "galenapulley/prompt_placement.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace galenapulley;
+
+namespace
+{
+
+engine_profile engine()
+{
+    return {.slots = 16,
+            .memory_tokens = 405'000,
+            .step_ms = 1.31,
+            .writer_ms = 0.000917,
+            .context_ms_per_1k = 0.00213,
+            .read_tokens_per_ms = 154,
+            .pairs_ms_per_million = 0.162,
+            .chunk_tokens = 2048,
+            .steps_per_pass = 34};
+}
+
+placement_request short_prompt()
+{
+    return {.prompt_tokens = 5000,
+            .output_tokens = 1300,
+            .target_ms = 300,
+            .gap_ms = 250,
+            .value = 1,
+            .max_parts = 1};
+}
+
+placement_request long_prompt()
+{
+    return {.prompt_tokens = 182'000,
+            .output_tokens = 650,
+            .target_ms = 4000,
+            .gap_ms = 1000,
+            .value = 24,
+            .max_parts = 16};
+}
+
+placement_candidate idle()
+{
+    return {.slots = 16};
+}
+
+placement_candidate with_writers(std::uint32_t n)
+{
+    placement_candidate out{.slots = 16};
+    out.load.running = n;
+    out.load.context_tokens = 5000.0 * n;
+    out.load.memory_tokens = 6000.0 * n;
+    out.load.writers.assign(n, {.gap_target = 250, .value = 1});
+    return out;
+}
+
+placement_candidate with_backlog(double ms)
+{
+    placement_candidate out{.slots = 16};
+    out.load.backlog_ms = ms;
+    out.load.reading = 1;
+    out.load.running = 1;
+    return out;
+}
+
+} // namespace
+
+// Load: a burst of long prompts while few short ones write. One engine alone
+// reads 182,000 tokens in about 4 s, which is as long as the client waits.
+BOOST_AUTO_TEST_CASE(a_long_read_is_split_over_engines_without_writers)
+{
+    std::vector<placement_candidate> fleet(14, idle());
+    fleet[0] = with_writers(14);
+    fleet[1] = with_writers(14);
+    const auto choice = place_prompt(engine(), long_prompt(), fleet);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->chosen.size() >= 2U);
+    BOOST_TEST(choice->first_event_ms < 0.6 * 4000);
+    for (const auto n : choice->chosen)
+        BOOST_TEST(n >= 2U);
+}
+
+// Load: short prompts arrive while others read for seconds.
+BOOST_AUTO_TEST_CASE(a_short_prompt_avoids_engines_that_read)
+{
+    const std::vector<placement_candidate> fleet{
+        with_backlog(900), with_backlog(500), with_writers(10)};
+    const auto choice = place_prompt(engine(), short_prompt(), fleet);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->chosen == std::vector<std::size_t>{2},
+               boost::test_tools::per_element());
+}
+
+// Load: few short prompts. Spread evenly they would leave no engine on which a
+// long read disturbs nobody.
+BOOST_AUTO_TEST_CASE(short_prompts_share_engines)
+{
+    const std::vector<placement_candidate> fleet{idle(), with_writers(5),
+                                                 idle()};
+    const auto choice = place_prompt(engine(), short_prompt(), fleet);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->chosen.front() == 1U);
+}
+
+// Load: a burst of short prompts fills the fleet; a long read still finds a
+// place, where it disturbs the fewest.
+BOOST_AUTO_TEST_CASE(a_long_read_takes_the_engine_with_the_fewest_writers)
+{
+    std::vector<placement_candidate> fleet(6, with_writers(14));
+    fleet[3] = with_writers(1);
+    const auto choice = place_prompt(engine(), long_prompt(), fleet);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->chosen.front() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(full_engines_take_nothing)
+{
+    const std::vector<placement_candidate> fleet(3, with_writers(16));
+    BOOST_TEST(!place_prompt(engine(), short_prompt(), fleet).has_value());
+}
+
+// Guards against a preemption in the middle of a stream when memory runs out.
+BOOST_AUTO_TEST_CASE(memory_bounds_what_an_engine_runs)
+{
+    auto half_full = idle();
+    half_full.load.memory_tokens = 300'000;
+    const std::vector<placement_candidate> fleet{half_full};
+    BOOST_TEST(!place_prompt(engine(), long_prompt(), fleet).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(plain_requests_go_to_the_emptiest_endpoint)
+{
+    std::vector<placement_candidate> fleet(3);
+    for (auto& it : fleet)
+        it.slots = 6;
+    fleet[0].load.running = 2;
+    fleet[1].load.running = 1;
+    fleet[2].load.running = 1;
+    fleet[2].same_domain = true;
+    BOOST_TEST(place_plain(fleet)->chosen.front() == 2U);
+    for (auto& it : fleet)
+        it.load.running = 6;
+    BOOST_TEST(!place_plain(fleet).has_value());
+}
