--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -74,6 +74,17 @@
             .writing = from.writing()};
 }
 
+/// Ids of the endpoints that only read a part.
+template <typename List>
+std::string joined_ids(const List& list, const placement_choice& choice)
+{
+    std::string out;
+    for (const auto n : choice.chosen)
+        if (n != choice.chosen.front())
+            out += (out.empty() ? "" : ",") + list.endpoints[n]->description.id;
+    return out;
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_options options, const clock& time,
@@ -247,10 +258,13 @@
     wire::work_update update;
     write_entry(work, *update.add_placed());
     const auto& load = list.load[choice.chosen.front()].load;
+    const auto helpers = joined_ids(list, choice);
     log_.write(
         log_event::placed,
         {{"request", std::string_view(item.attempt)},
          {"endpoint", std::string_view(out.runner.id)},
+         {"prompt_tokens", item.prompt_tokens},
+         {"helpers", std::string_view(helpers)},
          {"parts", static_cast<std::int64_t>(choice.chosen.size())},
          {"part_ms", choice.part_ms},
          {"backlog_ms", load.backlog_ms},
