--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -119,9 +119,7 @@
             out.push_back(
                 {.index = n,
                  .harm = harm(it, part) + own - packing(it) +
-                         (it.same_domain ? 0 : cross_domain_weight) +
-                         delay_weight * request_.value * it.load.backlog_ms /
-                             std::max(1.0, request_.target_ms),
+                         (it.same_domain ? 0 : cross_domain_weight),
                  .backlog = it.load.backlog_ms,
                  .can_run = can_run(it)});
         }
@@ -154,24 +152,29 @@
             backlog = std::max(backlog, it.backlog);
             disturbed += harm(candidates_[it.index], part);
         }
-        const auto pass =
-            engine_.pass_ms(first.load.running + 1, first.load.context_tokens);
-        out.first_event_ms = backlog + part + pass;
-        out.loss = disturbed + own_loss(first, out.first_event_ms) +
+        out.first_event_ms = first_event_ms(first, backlog, part);
+        out.loss = disturbed + own_loss(out.first_event_ms) +
                    part_weight * static_cast<double>(parts - 1) +
                    (first.same_domain ? 0 : cross_domain_weight);
         return out;
     }
 
-    double own_loss(const placement_candidate& first, double first_event) const
+    /// Time to the first event behind `backlog`. A read begins with a pass of
+    /// its own, so one that is under way is waited for, half of it on average.
+    double first_event_ms(const placement_candidate& it, double backlog,
+                          double part) const
+    {
+        const double pass =
+            engine_.pass_ms(it.load.running + 1, it.load.context_tokens);
+        const double under_way = it.load.running > 0 ? pass / 2 : 0;
+        return backlog + part + pass + under_way;
+    }
+
+    double own_loss(double first_event) const
     {
         const double time = request_.waited_ms + first_event;
-        // Reads that are already queued there lengthen its own pauses.
-        const double pause = pass_ms(first, first.load.backlog_ms);
-        const double late = std::max(lateness(time, request_.target_ms),
-                                     lateness(pause, request_.gap_ms));
         return request_.value *
-               (late_share * late +
+               (late_share * lateness(time, request_.target_ms) +
                 delay_weight * time / std::max(1.0, request_.target_ms));
     }
 
