--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -23,6 +23,12 @@
 /// short prompts.
 constexpr double packing_weight = 0.1;
 constexpr double cross_domain_weight = 0.001;
+/// Avoidable loss, relative to its own worth, for which a long prompt waits.
+constexpr double hold_loss_share = 0.05;
+/// Part of its target within which a long prompt that waits has to be read.
+constexpr double hold_share = 0.5;
+/// Parts that a prompt is usually split into when the fleet has room.
+constexpr std::size_t usual_parts = 6;
 
 /// 0 while `time` is well within `limit`, 1 beyond it.
 double lateness(double time, double limit)
@@ -113,9 +119,7 @@
         {
             const auto& it = candidates_[n];
             const double own =
-                request_.value * late_share *
-                lateness(request_.waited_ms + it.load.backlog_ms + part,
-                         request_.target_ms);
+                own_loss(first_event_ms(it, it.load.backlog_ms, part));
             out.push_back(
                 {.index = n,
                  .harm = harm(it, part) + own - packing(it) +
@@ -153,6 +157,10 @@
             disturbed += harm(candidates_[it.index], part);
         }
         out.first_event_ms = first_event_ms(first, backlog, part);
+        out.avoidable_loss =
+            disturbed + request_.value * late_share *
+                            lateness(request_.waited_ms + out.first_event_ms,
+                                     request_.target_ms);
         out.loss = disturbed + own_loss(out.first_event_ms) +
                    part_weight * static_cast<double>(parts - 1) +
                    (first.same_domain ? 0 : cross_domain_weight);
@@ -193,6 +201,18 @@
     return planner(engine, request, candidates).best();
 }
 
+bool should_wait(const engine_profile& engine, const placement_request& request,
+                 const placement_choice& choice)
+{
+    if (request.max_parts < 2 ||
+        choice.avoidable_loss < hold_loss_share * request.value)
+        return false;
+    const double least = engine.read_ms(request.prompt_tokens) /
+                             static_cast<double>(usual_parts) +
+                         engine.pass_ms(1, request.prompt_tokens);
+    return request.waited_ms + least < hold_share * request.target_ms;
+}
+
 std::optional<placement_choice>
 place_plain(std::span<const placement_candidate> candidates)
 {
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -46,6 +46,8 @@
     double first_event_ms = 0;
     /// Expected loss of worth, of this request and of the ones it disturbs.
     double loss = 0;
+    /// The part of it that a better moment could avoid.
+    double avoidable_loss = 0;
 };
 
 /// Chooses the engines for a prompt. It answers a load in which bursts of
@@ -58,6 +60,13 @@
 place_prompt(const engine_profile& engine, const placement_request& request,
              std::span<const placement_candidate> candidates);
 
+/// Whether a prompt should rather wait than take this choice. It answers a
+/// burst of long prompts that arrive while engines are still busy with short
+/// ones or with each other: within the first half of its target a long read
+/// waits for a moment in which it makes nobody late.
+bool should_wait(const engine_profile& engine, const placement_request& request,
+                 const placement_choice& choice);
+
 /// Chooses an endpoint of a service that runs no model: the one with the
 /// largest free part of its slots, the own failure domain first. Empty if all
 /// slots are taken.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -211,7 +211,10 @@
         .waited_ms = static_cast<double>(now - item.received_at),
         .value = value_of(item.prompt_tokens),
         .max_parts = split ? max_parts : 1};
-    return place_prompt(*engine, request, list.load);
+    auto choice = place_prompt(*engine, request, list.load);
+    if (choice && should_wait(*engine, request, *choice))
+        return std::nullopt;
+    return choice;
 }
 
 bool dispatcher::try_place(const dispatch_request& item,
