Placement: queued reads count as own delay and as harm; long prompts don't wait

Cause: engines read the newest part of a split prompt first. Change: the load view keeps the reads of an endpoint in that order; a new part is priced by the delay of those before it, its own delay still counts them; a first event that comes too late for the client loses all its worth; a stream that has begun goes on elsewhere after three accepted pauses of silence. The waiting of long prompts is removed. Waiting leaves engines idle that a burst needs.

--- a/src/galenapulley/fleet_load.cpp
+++ b/src/galenapulley/fleet_load.cpp
@@ -31,6 +31,7 @@
     for (const auto key : work.endpoints)
     {
         auto& it = lanes_[key];
+        advance(it, now);
         it.requests.push_back(work.request);
         std::erase_if(it.placed,
                       [now](msec at) { return at <= now - recent_window; });
@@ -38,33 +39,42 @@
             it.placed.push_back(now);
         if (work.writing)
             continue;
-        it.reads.push_back({.request = work.request, .part_ms = work.part_ms});
-        it.busy_until =
-            std::max(it.busy_until, static_cast<double>(now)) + work.part_ms;
+        const read item{.request = work.request,
+                        .left_ms = work.part_ms,
+                        .split = work.split()};
+        it.reads.insert(item.split ? it.reads.begin() : it.reads.end(), item);
     }
     work_.emplace(work.request, std::move(work));
 }
 
-void fleet_load::finish_read(lane& value, std::uint64_t request, msec now)
+std::vector<fleet_load::read> fleet_load::reads_at(const lane& value, msec now)
 {
-    const auto it = std::find_if(value.reads.begin(), value.reads.end(),
-                                 [request](const read& item)
-                                 { return item.request == request; });
-    if (it == value.reads.end())
-        return;
-    value.reads.erase(it);
-    // What is left to read bounds the backlog from above.
-    double left = 0;
-    for (const auto& item : value.reads)
-        left += item.part_ms;
-    value.busy_until =
-        std::min(value.busy_until, static_cast<double>(now) + left);
+    auto reads = value.reads;
+    auto spent = static_cast<double>(std::max(now - value.advanced_to, 0_ms));
+    for (auto& it : reads)
+    {
+        const auto done = std::min(spent, it.left_ms);
+        it.left_ms -= done;
+        spent -= done;
+    }
+    return reads;
+}
+
+void fleet_load::advance(lane& value, msec now)
+{
+    value.reads = reads_at(value, now);
+    value.advanced_to = now;
 }
 
 void fleet_load::forget_read(const placed_work& work, msec now)
 {
     for (const auto key : work.endpoints)
-        finish_read(lanes_[key], work.request, now);
+    {
+        auto& it = lanes_[key];
+        advance(it, now);
+        std::erase_if(it.reads, [&work](const read& item)
+                      { return item.request == work.request; });
+    }
 }
 
 void fleet_load::on_first_event(std::uint64_t request, msec now)
@@ -119,10 +129,17 @@
     const auto it = lanes_.find(key);
     if (it == lanes_.end())
         return load;
-    load.backlog_ms =
-        it->second.reads.empty()
-            ? 0
-            : std::max(0.0, it->second.busy_until - static_cast<double>(now));
+    for (const auto& item : reads_at(it->second, now))
+    {
+        const auto& work = work_.at(item.request);
+        load.backlog_ms += item.left_ms;
+        load.split_ms += item.split ? item.left_ms : 0;
+        load.reads.push_back(
+            {.value = work.value,
+             .finish_ms = load.backlog_ms,
+             .due_in_ms = static_cast<double>(work.due_at - now),
+             .target_ms = static_cast<double>(work.target)});
+    }
     load.recent = static_cast<std::uint32_t>(
         std::count_if(it->second.placed.begin(), it->second.placed.end(),
                       [now](msec at) { return at > now - recent_window; }));
@@ -135,7 +152,6 @@
             continue;
         }
         ++load.running;
-        load.reading += work.writing ? 0 : 1;
         load.memory_tokens += work.prompt_tokens + work.output_tokens;
         load.context_tokens += work.prompt_tokens;
         load.writers.push_back(
--- a/src/galenapulley/fleet_load.hpp
+++ b/src/galenapulley/fleet_load.hpp
@@ -29,9 +29,14 @@
     msec gap_target = 0;
     /// Worth of a timely answer, in the unit of placement_request::value.
     double value = 0;
-    msec placed_at = 0;
+    /// When its first event is due on this node's clock, and how long after
+    /// the request that is.
+    msec due_at = 0;
+    msec target = 0;
     /// The first event has arrived.
     bool writing = false;
+
+    bool split() const { return endpoints.size() > 1; }
 };
 
 /// A request that writes on an endpoint, as far as others can disturb it.
@@ -41,6 +46,17 @@
     double value = 0;
 };
 
+/// A read that an endpoint has not finished.
+struct pending_read
+{
+    double value = 0;
+    /// Expected time until it is done.
+    double finish_ms = 0;
+    /// Time left until its first event is due; negative once it is late.
+    double due_in_ms = 0;
+    double target_ms = 0;
+};
+
 /// What one endpoint is known to carry.
 struct endpoint_load
 {
@@ -49,8 +65,9 @@
     std::uint32_t helping = 0;
     /// Expected time until all reads placed so far are done.
     double backlog_ms = 0;
-    /// Requests whose first event is still to come.
-    std::uint32_t reading = 0;
+    /// Part of the backlog that belongs to prompts read by several endpoints.
+    double split_ms = 0;
+    std::vector<pending_read> reads{};
     double memory_tokens = 0;
     double context_tokens = 0;
     /// Requests placed in the last second.
@@ -82,19 +99,25 @@
     struct read
     {
         std::uint64_t request = 0;
-        double part_ms = 0;
+        double left_ms = 0;
+        bool split = false;
     };
 
+    /// One endpoint. Engines read the parts of split prompts first, the newest
+    /// one ahead of the others, and then whole prompts in order.
     struct lane
     {
         std::vector<std::uint64_t> requests;
+        /// In the order in which they are read.
         std::vector<read> reads;
         std::vector<msec> placed;
-        /// When the reads placed so far are expected to be done.
-        double busy_until = 0;
+        /// Until when the work of the first read is accounted for.
+        msec advanced_to = 0;
     };
 
-    static void finish_read(lane& value, std::uint64_t request, msec now);
+    /// Work done by `now`, over the reads in their order.
+    static std::vector<read> reads_at(const lane& value, msec now);
+    static void advance(lane& value, msec now);
     void forget_read(const placed_work& work, msec now);
 
     std::unordered_map<std::uint64_t, placed_work> work_;
--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -14,6 +14,13 @@
 constexpr double late_share = 0.75;
 /// Part of a time limit from which on lateness is counted as possible.
 constexpr double safe_share = 0.6;
+/// Part of a client's time in which the first event has to come, as the rest
+/// of the answer takes time, too.
+constexpr double give_up_share = 0.7;
+/// Clients leave after a pause of this length, or of so many times the pause
+/// that they accept.
+constexpr double shortest_abandon_ms = 2000;
+constexpr double abandon_gaps = 8;
 /// Loss per millisecond of expected first event, relative to the target. It
 /// decides between placements that are all in time.
 constexpr double delay_weight = 0.05;
@@ -23,12 +30,6 @@
 /// short prompts.
 constexpr double packing_weight = 0.1;
 constexpr double cross_domain_weight = 0.001;
-/// Avoidable loss, relative to its own worth, for which a long prompt waits.
-constexpr double hold_loss_share = 0.05;
-/// Part of its target within which a long prompt that waits has to be read.
-constexpr double hold_share = 0.5;
-/// Parts that a prompt is usually split into when the fleet has room.
-constexpr std::size_t usual_parts = 6;
 
 /// 0 while `time` is well within `limit`, 1 beyond it.
 double lateness(double time, double limit)
@@ -41,8 +42,9 @@
 struct option
 {
     std::size_t index = 0;
+    /// Worth that others lose.
     double harm = 0;
-    double backlog = 0;
+    double cost = 0;
     bool can_run = false;
 };
 
@@ -89,18 +91,36 @@
                std::min(backlog, std::max(longest, it.load.backlog_ms));
     }
 
-    /// Worth that the writers of an engine lose when it reads `part` more.
+    /// Worth that a writer loses by pauses of this length.
+    static double writer_loss(const writer& w, double pause)
+    {
+        const auto gap = static_cast<double>(w.gap_target);
+        const double leaves = std::max(shortest_abandon_ms, abandon_gaps * gap);
+        return w.value * (late_share * lateness(pause, gap) +
+                          (1 - late_share) * lateness(pause, leaves));
+    }
+
+    /// Worth that a pending read loses by ending at `finish`.
+    static double read_loss(const pending_read& r, double finish)
+    {
+        const double time = r.target_ms - r.due_in_ms + finish;
+        return r.value * (late_share * lateness(time, r.target_ms) +
+                          delay_weight * time / std::max(1.0, r.target_ms));
+    }
+
+    /// Worth that others lose when an engine reads `part` more.
     double harm(const placement_candidate& it, double part) const
     {
         const double before = pass_ms(it, it.load.backlog_ms);
         const double after = pass_ms(it, it.load.backlog_ms + part);
         double loss = 0;
         for (const auto& w : it.load.writers)
-        {
-            const auto gap = static_cast<double>(w.gap_target);
-            loss += w.value * late_share *
-                    (lateness(after, gap) - lateness(before, gap));
-        }
+            loss += writer_loss(w, after) - writer_loss(w, before);
+        // Parts of split prompts are read before everything that waits.
+        if (request_.max_parts > 1)
+            for (const auto& r : it.load.reads)
+                loss += read_loss(r, r.finish_ms + part) -
+                        read_loss(r, r.finish_ms);
         return loss;
     }
 
@@ -112,40 +132,41 @@
         return packing_weight * it.load.running / std::max(1U, it.slots);
     }
 
-    std::vector<option> options(double part) const
+    std::vector<option> options(std::size_t parts) const
     {
+        const double part = read_ms_ / static_cast<double>(parts);
         std::vector<option> out;
         for (std::size_t n = 0; n < candidates_.size(); ++n)
         {
             const auto& it = candidates_[n];
             const double own =
                 own_loss(first_event_ms(it, it.load.backlog_ms, part));
-            out.push_back(
-                {.index = n,
-                 .harm = harm(it, part) + own - packing(it) +
-                         (it.same_domain ? 0 : cross_domain_weight),
-                 .backlog = it.load.backlog_ms,
-                 .can_run = can_run(it)});
+            const double disturbed = harm(it, part);
+            out.push_back({.index = n,
+                           .harm = disturbed,
+                           .cost = disturbed + own - packing(it) +
+                                   (it.same_domain ? 0 : cross_domain_weight),
+                           .can_run = can_run(it)});
         }
         std::sort(out.begin(), out.end(),
                   [](const option& a, const option& b)
-                  { return a.harm < b.harm; });
+                  { return a.cost < b.cost; });
         return out;
     }
 
     std::optional<placement_choice> with_parts(std::size_t parts) const
     {
-        const double part = read_ms_ / static_cast<double>(parts);
-        const auto sorted = options(part);
+        const auto sorted = options(parts);
         const auto runner =
             std::find_if(sorted.begin(), sorted.end(),
                          [](const option& it) { return it.can_run; });
         if (runner == sorted.end())
             return std::nullopt;
-        placement_choice out{.chosen = {runner->index}, .part_ms = part};
-        double backlog = runner->backlog;
         const auto& first = candidates_[runner->index];
-        double disturbed = harm(first, part) - packing(first);
+        placement_choice out{.chosen = {runner->index},
+                             .part_ms = read_ms_ / static_cast<double>(parts)};
+        double disturbed = runner->harm;
+        double ahead = first.load.backlog_ms;
         for (const auto& it : sorted)
         {
             if (out.chosen.size() == parts)
@@ -153,36 +174,35 @@
             if (it.index == runner->index)
                 continue;
             out.chosen.push_back(it.index);
-            backlog = std::max(backlog, it.backlog);
-            disturbed += harm(candidates_[it.index], part);
+            disturbed += it.harm;
+            ahead = std::max(ahead, candidates_[it.index].load.backlog_ms);
         }
-        out.first_event_ms = first_event_ms(first, backlog, part);
-        out.avoidable_loss =
-            disturbed + request_.value * late_share *
-                            lateness(request_.waited_ms + out.first_event_ms,
-                                     request_.target_ms);
-        out.loss = disturbed + own_loss(out.first_event_ms) +
+        out.first_event_ms = first_event_ms(first, ahead, out.part_ms);
+        out.loss = disturbed - packing(first) + own_loss(out.first_event_ms) +
                    part_weight * static_cast<double>(parts - 1) +
                    (first.same_domain ? 0 : cross_domain_weight);
         return out;
     }
 
-    /// Time to the first event behind `backlog`. A read begins with a pass of
+    /// Time to the first event behind `ahead`. A read begins with a pass of
     /// its own, so one that is under way is waited for, half of it on average.
-    double first_event_ms(const placement_candidate& it, double backlog,
+    double first_event_ms(const placement_candidate& it, double ahead,
                           double part) const
     {
         const double pass =
             engine_.pass_ms(it.load.running + 1, it.load.context_tokens);
         const double under_way = it.load.running > 0 ? pass / 2 : 0;
-        return backlog + part + pass + under_way;
+        return ahead + part + pass + under_way;
     }
 
     double own_loss(double first_event) const
     {
         const double time = request_.waited_ms + first_event;
+        // A late answer still has worth, unless the client gives up before.
         return request_.value *
                (late_share * lateness(time, request_.target_ms) +
+                (1 - late_share) *
+                    lateness(time, give_up_share * request_.limit_ms) +
                 delay_weight * time / std::max(1.0, request_.target_ms));
     }
 
@@ -201,18 +221,6 @@
     return planner(engine, request, candidates).best();
 }
 
-bool should_wait(const engine_profile& engine, const placement_request& request,
-                 const placement_choice& choice)
-{
-    if (request.max_parts < 2 ||
-        choice.avoidable_loss < hold_loss_share * request.value)
-        return false;
-    const double least = engine.read_ms(request.prompt_tokens) /
-                             static_cast<double>(usual_parts) +
-                         engine.pass_ms(1, request.prompt_tokens);
-    return request.waited_ms + least < hold_share * request.target_ms;
-}
-
 std::optional<placement_choice>
 place_plain(std::span<const placement_candidate> candidates)
 {
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -22,6 +22,8 @@
     double gap_ms = 0;
     /// Time already spent since the client sent the request.
     double waited_ms = 0;
+    /// Time from the request until its client gives up.
+    double limit_ms = 0;
     /// Worth of a timely answer.
     double value = 1;
     /// Endpoints that may read parts of the prompt, the first one included.
@@ -46,8 +48,6 @@
     double first_event_ms = 0;
     /// Expected loss of worth, of this request and of the ones it disturbs.
     double loss = 0;
-    /// The part of it that a better moment could avoid.
-    double avoidable_loss = 0;
 };
 
 /// Chooses the engines for a prompt. It answers a load in which bursts of
@@ -60,13 +60,6 @@
 place_prompt(const engine_profile& engine, const placement_request& request,
              std::span<const placement_candidate> candidates);
 
-/// Whether a prompt should rather wait than take this choice. It answers a
-/// burst of long prompts that arrive while engines are still busy with short
-/// ones or with each other: within the first half of its target a long read
-/// waits for a moment in which it makes nobody late.
-bool should_wait(const engine_profile& engine, const placement_request& request,
-                 const placement_choice& choice);
-
 /// Chooses an endpoint of a service that runs no model: the one with the
 /// largest free part of its slots, the own failure domain first. Empty if all
 /// slots are taken.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -46,7 +46,7 @@
     return &*service->engine;
 }
 
-void write_entry(const placed_work& from, wire::work_entry& to)
+void write_entry(const placed_work& from, msec now, wire::work_entry& to)
 {
     to.set_request(from.request);
     for (const auto key : from.endpoints)
@@ -57,6 +57,8 @@
     to.set_gap_target_ms(static_cast<std::uint32_t>(from.gap_target));
     to.set_value(static_cast<float>(from.value));
     to.set_writing(from.writing);
+    to.set_due_in_ms(static_cast<std::int32_t>(from.due_at - now));
+    to.set_target_ms(static_cast<std::uint32_t>(from.target));
 }
 
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
@@ -70,7 +72,8 @@
             .part_ms = from.part_ms(),
             .gap_target = from.gap_target_ms(),
             .value = from.value(),
-            .placed_at = now,
+            .due_at = now + from.due_in_ms(),
+            .target = from.target_ms(),
             .writing = from.writing()};
 }
 
@@ -209,12 +212,10 @@
         .target_ms = static_cast<double>(item.way->target_latency),
         .gap_ms = static_cast<double>(item.way->gap_target),
         .waited_ms = static_cast<double>(now - item.received_at),
+        .limit_ms = static_cast<double>(item.give_up_at - item.received_at),
         .value = value_of(item.prompt_tokens),
         .max_parts = split ? max_parts : 1};
-    auto choice = place_prompt(*engine, request, list.load);
-    if (choice && should_wait(*engine, request, *choice))
-        return std::nullopt;
-    return choice;
+    return place_prompt(*engine, request, list.load);
 }
 
 bool dispatcher::try_place(const dispatch_request& item,
@@ -244,7 +245,8 @@
                      .part_ms = choice.part_ms,
                      .gap_target = item.way->gap_target,
                      .value = value_of(item.prompt_tokens),
-                     .placed_at = now};
+                     .due_at = item.received_at + item.way->target_latency,
+                     .target = item.way->target_latency};
     for (const auto n : choice.chosen)
     {
         work.endpoints.push_back(list.endpoints[n]->key);
@@ -259,7 +261,7 @@
                           .attempt = item.attempt,
                           .tell_first_event = choice.part_ms > long_read_ms});
     wire::work_update update;
-    write_entry(work, *update.add_placed());
+    write_entry(work, now, *update.add_placed());
     const auto& load = list.load[choice.chosen.front()].load;
     const auto helpers = joined_ids(list, choice);
     log_.write(
@@ -413,8 +415,9 @@
 {
     wire::work_update update;
     update.set_complete(true);
+    const auto now = clock_.now();
     for (const auto* const it : load_.work_of(options_.node))
-        write_entry(*it, *update.add_placed());
+        write_entry(*it, now, *update.add_placed());
     announce_(update);
 }
 
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -29,12 +29,14 @@
 constexpr std::uint32_t max_calls = 4;
 /// Largest answer that is held until it is whole.
 constexpr std::size_t max_held_answer = std::size_t{8} << 20;
-/// A stream that is silent for a multiple of what is expected, and for this
-/// time at least, goes on at another endpoint. Clients leave after two seconds
-/// without an event.
+/// An endpoint that says nothing is given up after this time and so many
+/// targets of the first event.
+constexpr msec first_event_slack = 3500;
+constexpr msec silent_targets = 2;
+/// A stream that has begun goes on elsewhere after this silence, or after so
+/// many accepted pauses.
 constexpr msec shortest_silence = 1000;
-constexpr msec first_event_slack = 1500;
-constexpr double silence_factor = 2.5;
+constexpr msec silent_gaps = 3;
 
 std::string_view content_type_of(const header_list& headers)
 {
@@ -191,7 +193,6 @@
     if (calls_ == 0)
         state_.metrics.observe(request_stage::placement,
                                placed_at_ - request_.received.received_at);
-    expected_first_event_ms_ = grant.expected_first_event_ms;
     call_ = std::make_shared<endpoint_call>(state_.io);
     const auto outcome = co_await exchange(grant);
     call_->cancel();
@@ -304,13 +305,13 @@
     const auto left = std::max(time_left(), 1_ms);
     if (!request_.way->repeatable() || runs_ + 1 >= request_.way->max_attempts)
         return left;
-    const auto base =
-        events_sent_ > 0
-            ? static_cast<double>(request_.way->gap_target)
-            : expected_first_event_ms_ + static_cast<double>(first_event_slack);
-    const auto limit =
-        std::max(shortest_silence, static_cast<msec>(silence_factor * base));
-    return std::min(left, limit);
+    if (events_sent_ > 0)
+        return std::min(left, std::max(shortest_silence,
+                                       silent_gaps * request_.way->gap_target));
+    // An engine that is busy is silent as well, and a repeat makes it busier.
+    return std::min(left / 2,
+                    first_event_slack +
+                        silent_targets * request_.way->target_latency);
 }
 
 asio::awaitable<call_outcome> forwarding::relay_whole(header_list headers)
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -121,7 +121,6 @@
     /// From the request to its first event.
     msec first_event_ms_ = 0;
     msec longest_pause_ = 0;
-    double expected_first_event_ms_ = 0;
 };
 
 } // namespace galenapulley
