--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -1,6 +1,7 @@
 #include "ctl/ctl.hpp"
 
 #include "ctl/ctl_session.hpp"
+#include "ctl/log_story.hpp"
 #include "ctl/text_output.hpp"
 
 // Addresses and file names may contain commas.
@@ -11,6 +12,7 @@
 #include <array>
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <ostream>
 #include <sstream>
@@ -65,10 +67,15 @@
          &ctl_session::show_refusals},
     verb{"metrics", "", "Print the node's metrics.",
          &ctl_session::show_metrics},
+    verb{"gateway", "",
+         "Show the state of a gateway; --node is its metrics address.",
+         &ctl_session::show_gateway},
     verb{"nodes", "", "List the nodes that callers may use.",
          &ctl_session::list_nodes},
 };
 
+constexpr const char* explain_verb = "explain";
+
 words split(const std::string& text, char separator)
 {
     words parts;
@@ -147,6 +154,8 @@
         rows.reserve(verbs.size());
         for (const auto& it : verbs)
             rows.push_back({"  " + usage_of(it), it.help});
+        rows.push_back({std::string("  ") + explain_verb + " ID [FILE...]",
+                        "Tell one request's story from gateways' logs."});
         print_columns(out, rows);
         out << '\n';
     }
@@ -191,11 +200,36 @@
     return options;
 }
 
+/// `explain ID [FILE...]` reads logs and needs no node.
+exit_code explain(const words& args, std::ostream& out, std::ostream& err)
+{
+    if (args.empty())
+        throw std::invalid_argument(
+            "usage: galenapulley ctl explain ID [FILE...]");
+    log_story story(args.front());
+    if (args.size() == 1)
+        story.read(std::cin);
+    for (std::size_t n = 1; n < args.size(); ++n)
+    {
+        std::ifstream in(args[n]);
+        if (!in)
+            throw std::invalid_argument("can't read " + args[n]);
+        story.read(in);
+    }
+    if (story.print(out))
+        return exit_code::done;
+    err << "no line about request " << args.front() << '\n';
+    return exit_code::refused;
+}
+
 exit_code run_verb(const cxxopts::ParseResult& parsed, std::ostream& out,
                    std::ostream& err)
 {
     auto list =
         parsed.count("words") != 0 ? parsed["words"].as<words>() : words();
+    if (!list.empty() && list.front() == explain_verb &&
+        parsed.count("help") == 0)
+        return explain({list.begin() + 1, list.end()}, out, err);
     const auto* const selected = take_verb(list);
     if (parsed.count("help") != 0)
     {
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -36,6 +36,8 @@
 /// Time for the bytes of a body after its head.
 constexpr msec body_timeout = 10'000;
 constexpr std::size_t max_listed_nodes = 64;
+/// On the metrics address: the gauges for operators; all else is metrics.
+constexpr std::string_view status_path = "/status";
 
 std::chrono::milliseconds duration(msec n)
 {
@@ -434,6 +436,12 @@
 asio::awaitable<bool>
 client_connection::serve_metrics(const client_request& request)
 {
+    if (request.path() == status_path)
+    {
+        auto status = state_.metrics.status();
+        co_return co_await send_text(200, "application/json", std::move(status),
+                                     request.keep_alive);
+    }
     auto body = state_.count.expose() + state_.metrics.expose();
     co_return co_await send_text(200, "text/plain; version=0.0.4",
                                  std::move(body), request.keep_alive);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -91,11 +91,10 @@
 } // namespace
 
 dispatcher::dispatcher(dispatcher_options options, const clock& time,
-                       event_log& log, counters& count)
+                       event_log& log)
     : options_(std::move(options))
     , clock_(time)
     , log_(log)
-    , counters_(count)
     , strikes_(strikes_kept, crashes_to_quarantine)
 {
     set_live_nodes(0);
@@ -286,7 +285,6 @@
 void dispatcher::refuse(const dispatch_request& item, dispatch_refusal refusal,
                         const answer_callback& done)
 {
-    counters_.count(refusal.kind);
     log_.write(log_event::refused,
                {{"request", std::string_view(item.attempt)},
                 {"service", std::string_view(item.service)},
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "galenapulley/clock.hpp"
-#include "galenapulley/counters.hpp"
 #include "galenapulley/endpoint_registry.hpp"
 #include "galenapulley/fleet_load.hpp"
 #include "galenapulley/prompt_placement.hpp"
@@ -46,8 +45,7 @@
     using announce_callback = std::function<void(const wire::work_update&)>;
     using strike_callback = std::function<void(const strike&)>;
 
-    dispatcher(dispatcher_options options, const clock& time, event_log& log,
-               counters& count);
+    dispatcher(dispatcher_options options, const clock& time, event_log& log);
 
     /// Sends an update to all live nodes.
     void set_announce(announce_callback fn) { announce_ = std::move(fn); }
@@ -120,7 +118,6 @@
     dispatcher_options options_;
     const clock& clock_;
     event_log& log_;
-    counters& counters_;
     announce_callback announce_;
     strike_callback tell_strike_;
     endpoint_registry registry_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,7 +70,7 @@
                    .failure_domain = settings_.failure_domain,
                    .cluster_retries = {.base = settings_.retry_base,
                                        .ratio = settings_.retry_ratio}},
-                  clock_, log_, counters_)
+                  clock_, log_)
     , view_(loop_, *store_, *adapter_.codec, peers_, log_,
             {.routing = [this](auto it) { set_routing(std::move(it)); },
              .withdrawn = [this](auto it)
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_metrics.hpp"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -68,6 +69,14 @@
     answers_.increment(group <= 5 ? group : 0);
 }
 
+std::string gateway_metrics::status() const
+{
+    nlohmann::ordered_json out;
+    for (std::size_t n = 0; n < gauges_.size(); ++n)
+        out[std::string(gauge_names[n])] = gauges_[n].load();
+    return out.dump();
+}
+
 std::string gateway_metrics::expose() const
 {
     std::string out;
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -60,6 +60,8 @@
 
     /// Histograms and gauges in the metrics text format.
     std::string expose() const;
+    /// All gauges as a JSON object, for operators.
+    std::string status() const;
 
 private:
     static constexpr std::array<msec, 12> bounds{
