--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -15,6 +15,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -30,9 +31,9 @@
 namespace
 {
 
-constexpr std::size_t read_bytes = 16 * 1024;
+constexpr std::size_t read_bytes = std::size_t{16} * 1024;
 /// Bytes that a client may send ahead of the request being served.
-constexpr std::size_t max_ahead_bytes = 256 * 1024;
+constexpr std::size_t max_ahead_bytes = std::size_t{256} * 1024;
 /// Time for the bytes of a body after its head.
 constexpr msec body_timeout = 10'000;
 constexpr std::size_t max_listed_nodes = 64;
@@ -270,18 +271,13 @@
 
 asio::awaitable<bool> client_connection::serve_request(client_request request)
 {
-    switch (role_)
-    {
-    case listener_role::traffic:
-        co_return co_await serve_traffic(std::move(request));
-    case listener_role::ready:
-        co_return co_await serve_ready(request);
-    case listener_role::directory:
-        co_return co_await serve_directory(request);
-    case listener_role::metrics:
-        co_return co_await serve_metrics(request);
-    }
-    co_return false;
+    using server = asio::awaitable<bool> (client_connection::*)(client_request);
+    // In the order of listener_role.
+    static constexpr std::array<server, 4> servers{
+        &client_connection::serve_traffic, &client_connection::serve_ready,
+        &client_connection::serve_directory, &client_connection::serve_metrics};
+    const auto serve = servers.at(static_cast<std::size_t>(role_));
+    return (this->*serve)(std::move(request));
 }
 
 absl::StatusOr<admitted_request>
@@ -406,8 +402,7 @@
     co_return sent&& keep;
 }
 
-asio::awaitable<bool>
-client_connection::serve_ready(const client_request& request)
+asio::awaitable<bool> client_connection::serve_ready(client_request request)
 {
     const bool known = state_.format.is_ready_check(request.target);
     const int status = !known ? 404 : state_.ready ? 200 : 503;
@@ -416,8 +411,7 @@
                                  request.keep_alive);
 }
 
-asio::awaitable<bool>
-client_connection::serve_directory(const client_request& request)
+asio::awaitable<bool> client_connection::serve_directory(client_request request)
 {
     const auto query = state_.format.read_directory_query(request.target);
     std::vector<std::string> addresses;
@@ -433,8 +427,7 @@
                                  request.keep_alive);
 }
 
-asio::awaitable<bool>
-client_connection::serve_metrics(const client_request& request)
+asio::awaitable<bool> client_connection::serve_metrics(client_request request)
 {
     if (request.path() == status_path)
     {
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -75,9 +75,9 @@
 
     boost::asio::awaitable<bool> serve_request(client_request request);
     boost::asio::awaitable<bool> serve_traffic(client_request request);
-    boost::asio::awaitable<bool> serve_ready(const client_request& request);
-    boost::asio::awaitable<bool> serve_directory(const client_request& request);
-    boost::asio::awaitable<bool> serve_metrics(const client_request& request);
+    boost::asio::awaitable<bool> serve_ready(client_request request);
+    boost::asio::awaitable<bool> serve_directory(client_request request);
+    boost::asio::awaitable<bool> serve_metrics(client_request request);
     boost::asio::awaitable<bool> send_text(int status, std::string_view type,
                                            std::string body, bool keep);
     absl::StatusOr<admitted_request> admit(client_request request) const;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -25,7 +25,6 @@
 namespace wire
 {
 class work_update;
-class strike;
 } // namespace wire
 
 struct dispatcher_options
--- a/src/gateway/endpoint_call.cpp
+++ b/src/gateway/endpoint_call.cpp
@@ -26,7 +26,7 @@
 {
 
 constexpr std::uint32_t max_head_bytes = 32 * 1024;
-constexpr std::size_t read_bytes = 8 * 1024;
+constexpr std::size_t read_bytes = std::size_t{8} * 1024;
 
 } // namespace
 
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -145,15 +145,16 @@
 std::shared_ptr<forwarding::pending_answer>
 forwarding::send_dispatch_request(std::uint64_t id)
 {
-    const auto pending = std::make_shared<pending_answer>();
+    auto pending = std::make_shared<pending_answer>();
     pending->wake = &wake_;
     state_.dispatch.request(
         make_dispatch_request(id),
-        [pending, id, &dispatch = state_.dispatch](dispatch_answer answer)
+        [pending, id,
+         &dispatch = state_.dispatch](const dispatch_answer& answer)
         {
             if (pending->wake != nullptr)
             {
-                pending->answer = std::move(answer);
+                pending->answer = answer;
                 pending->wake->cancel();
             }
             // The request has ended meanwhile; the place is given back.
@@ -426,7 +427,6 @@
         // The client may only be told "not run" after the last such answer.
         return way.max_attempts > 1 && runs_left;
     case call_outcome::endpoint_error:
-        return way.repeatable() && runs_left;
     case call_outcome::broken_before_answer:
     case call_outcome::broken_answer:
     case call_outcome::stalled:
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -63,8 +63,7 @@
              {.address = settings_.peer,
               .node = settings_.node,
               .incarnation = incarnation_},
-             [this](wire::peer_message message)
-             { receive(std::move(message)); })
+             [this](const wire::peer_message& message) { receive(message); })
     , store_(adapter_.make_store(loop_, settings_))
     , dispatcher_({.node = settings_.node,
                    .failure_domain = settings_.failure_domain,
@@ -355,7 +354,7 @@
                        });
 }
 
-void gateway::receive(wire::peer_message message)
+void gateway::receive(const wire::peer_message& message)
 {
     if (message.from() == settings_.node)
         return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -67,7 +67,7 @@
     void join_cluster();
     void leave_address();
 
-    void receive(wire::peer_message message);
+    void receive(const wire::peer_message& message);
     void send_to_live(const wire::peer_message& message);
     void set_routing(std::shared_ptr<const routing_table> routing);
 
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -170,6 +170,7 @@
                 found.emplace_back(it.version, key);
         std::sort(found.begin(), found.end());
         std::vector<row_key> keys;
+        keys.reserve(found.size());
         for (const auto& it : found)
             keys.push_back(it.second);
         return keys;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -86,7 +86,7 @@
     cluster_rows rows;
     rows.replace(
         {{.key = "a", .value = good, .version = 1},
-         {.key = "b", .value = "\xff\x00", .version = 1},
+         {.key = "b", .value = "\xff\x01", .version = 1},
          {.key = "c", .value = changed("ready", "tired"), .version = 1},
          {.key = "d", .value = changed("16", "\"16\""), .version = 1},
          {.key = "e",
