Forwarding: the end of a request's time is told from a silent endpoint

Cause: gateway_explain_test failed in 2 of 4 repeats with 502 in place of 504. The call's limit and the request's ran out in the same millisecond; the call's came first and made the endpoint the one at fault. Change: a call's own limit ends 50 ms after the request's. Conclusion: a real fault, clients got 502 at their deadline.

--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -38,6 +38,10 @@
 constexpr msec shortest_silence = 1000;
 constexpr msec silent_gaps = 3;
 
+/// A call's own limit ends after the request's, which tells "out of time" from
+/// a silent endpoint.
+constexpr msec give_up_margin = 50;
+
 std::string_view content_type_of(const header_list& headers)
 {
     for (const auto& [name, value] : headers)
@@ -301,9 +305,14 @@
                       : call_outcome::broken_before_answer;
 }
 
+msec forwarding::until_given_up() const
+{
+    return std::max(time_left(), 0_ms) + give_up_margin;
+}
+
 msec forwarding::silence_limit() const
 {
-    const auto left = std::max(time_left(), 1_ms);
+    const auto left = until_given_up();
     if (!request_.way->repeatable() || runs_ + 1 >= request_.way->max_attempts)
         return left;
     if (events_sent_ > 0)
@@ -321,8 +330,7 @@
     const bool skip_body = request_.received.method == "HEAD";
     while (!skip_body && !call_->body_complete())
     {
-        const auto step =
-            co_await call_->read_some(body, std::max(time_left(), 1_ms));
+        const auto step = co_await call_->read_some(body, until_given_up());
         if (step != call_step::done)
             co_return outcome_of(step);
         if (body.size() > max_held_answer)
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -83,6 +83,8 @@
     /// Whether anything of the request may have run.
     bool may_have_run() const { return may_have_run_; }
     call_outcome outcome_of(call_step step) const;
+    /// Limit of a call that ends with the request.
+    msec until_given_up() const;
     msec silence_limit() const;
     std::string endpoint_request(const dispatch_grant& grant) const;
     bool is_stream(const header_list& headers) const;
