Dispatcher: a prompt that fits no engine is refused at once

Change: they are refused on arrival, with a long Retry-After; dispatcher_test for this and for the bound of a cold endpoint. Reservations over several engines would serve them; not built.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -27,6 +27,8 @@
 constexpr msec retry_after_full = 400;
 constexpr msec retry_after_no_endpoint = 500;
 constexpr msec retry_after_crash = 30'000;
+/// No endpoint will have more memory soon.
+constexpr msec retry_after_too_large = 30'000;
 constexpr std::size_t strikes_kept = 4096;
 constexpr std::size_t crashes_to_quarantine = 3;
 /// Part of the cluster's retries that is used; peers that are not known take
@@ -126,6 +128,17 @@
                done);
         return;
     }
+    const auto* const engine = engine_of(item);
+    if (engine != nullptr &&
+        item.prompt_tokens + item.output_tokens > engine->memory_tokens)
+    {
+        refuse(item,
+               {.kind = error_kind::overloaded,
+                .reason = "needs more memory than one engine has",
+                .retry_after = retry_after_too_large},
+               done);
+        return;
+    }
     if (!item.repeat)
         budget->second.on_request(now);
     else if (!budget->second.take_retry(now))
@@ -140,7 +153,6 @@
     if (line_.empty() && try_place(item, done))
         return;
     const auto id = item.id;
-    const auto* const engine = engine_of(item);
     const double needs = engine == nullptr
                              ? 0
                              : engine->read_ms(item.prompt_tokens) /
--- /dev/null
+++ b/tests/unit/dispatcher_test.cpp
@@ -0,0 +1,118 @@
+#include "gateway/dispatcher.hpp"
+
+#include "gateway/event_log.hpp"
+#include "peer.pb.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace galenapulley;
+
+namespace
+{
+
+constexpr msec cold_time = 3000;
+constexpr double cold_rate = 36;
+
+std::shared_ptr<const routing_table> sample_table()
+{
+    const route way{.name = "r",
+                    .host = "h",
+                    .prefix = "/",
+                    .kind = request_kind::streaming,
+                    .timeout = 10'000,
+                    .target_latency = 300,
+                    .gap_target = 250,
+                    .services = {{.service = "svc"}},
+                    .max_attempts = 2,
+                    .resumable = true};
+    const engine_profile engine{.slots = 100,
+                                .memory_tokens = 400'000,
+                                .step_ms = 1.3,
+                                .read_tokens_per_ms = 154,
+                                .steps_per_pass = 34};
+    return std::make_shared<routing_table>(
+        1, std::vector{way},
+        std::vector<service_profile>{
+            {.name = "svc", .cold_rate = cold_rate, .engine = engine}},
+        std::vector<client_account>{}, client_limits{});
+}
+
+struct one_endpoint
+{
+    manual_clock time{100'000};
+    event_log log{"n1", "error"};
+    dispatcher target{{.node = "n1",
+                       .failure_domain = "east",
+                       .cluster_retries = {.base = 100, .ratio = 0.2}},
+                      time,
+                      log};
+    std::shared_ptr<const routing_table> table = sample_table();
+    std::uint64_t next = 0;
+
+    explicit one_endpoint(msec cold_left)
+    {
+        target.set_announce([](const wire::work_update&) {});
+        target.set_strike_announce([](const strike&) {});
+        target.set_endpoints({{.id = "e1",
+                               .service = "svc",
+                               .address = "10.0.0.1:80",
+                               .failure_domain = "east",
+                               .slots = 100,
+                               .cold_left = cold_left}},
+                             true);
+    }
+
+    std::optional<dispatch_answer> ask(double prompt_tokens)
+    {
+        std::optional<dispatch_answer> out;
+        target.request({.id = ++next,
+                        .attempt = "t",
+                        .table = table,
+                        .way = table->find("h", "/x"),
+                        .service = "svc",
+                        .prompt_tokens = prompt_tokens,
+                        .output_tokens = 100,
+                        .received_at = time.now(),
+                        .give_up_at = time.now() + 10'000,
+                        .fingerprint = next},
+                       [&out](dispatch_answer it) { out = std::move(it); });
+        // An answer that comes later would refer to a variable that is gone.
+        if (!out)
+            target.cancel(next);
+        return out;
+    }
+};
+
+} // namespace
+
+// Guards against a client that waits although its prompt fits no engine.
+BOOST_AUTO_TEST_CASE(a_prompt_that_fits_no_engine_is_refused_at_once)
+{
+    one_endpoint fleet(0);
+    const auto answer = fleet.ask(500'000);
+    BOOST_TEST_REQUIRE(answer.has_value());
+    const auto* const refusal = std::get_if<dispatch_refusal>(&*answer);
+    BOOST_TEST_REQUIRE(refusal != nullptr);
+    BOOST_TEST(refusal->retry_after > 0);
+    BOOST_TEST(fleet.target.waiting() == 0U);
+    const auto fits = fleet.ask(300'000);
+    BOOST_TEST(std::holds_alternative<dispatch_grant>(*fits));
+}
+
+// Load: a burst of short prompts onto an endpoint that has just started. A cold
+// endpoint crashes well above its rate.
+BOOST_AUTO_TEST_CASE(a_cold_endpoint_gets_no_more_than_its_rate)
+{
+    one_endpoint fleet(cold_time);
+    int granted = 0;
+    for (int n = 0; n < 100; ++n)
+    {
+        fleet.time.advance(9);
+        const auto answer = fleet.ask(500);
+        granted += answer && std::holds_alternative<dispatch_grant>(*answer);
+    }
+    BOOST_TEST(granted > 0);
+    BOOST_TEST(granted <= cold_rate);
+    fleet.time.advance(cold_time);
+    BOOST_TEST(fleet.ask(500).has_value());
+}
