--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -195,7 +195,8 @@
 forwarding::call_endpoint(dispatch_grant grant)
 {
     placed_at_ = now();
-    if (calls_ == 0)
+    ++calls_;
+    if (calls_ == 1)
         state_.metrics.observe(request_stage::placement,
                                placed_at_ - request_.received.received_at);
     call_ = std::make_shared<endpoint_call>(state_.io);
@@ -205,7 +206,6 @@
     state_.metrics.count(outcome);
     state_.dispatch.on_finished(dispatch_id_, outcome);
     tried_.push_back(grant.key);
-    ++calls_;
     last_outcome_ = outcome;
     const auto next = after(outcome);
     if (next == next_step::try_again)
@@ -424,7 +424,7 @@
 {
     const auto& way = *request_.way;
     const bool runs_left = runs_ < way.max_attempts;
-    if (end_ != end_reason::none || time_left() <= 0 || calls_ + 1 >= max_calls)
+    if (end_ != end_reason::none || time_left() <= 0 || calls_ >= max_calls)
         return false;
     switch (outcome)
     {
@@ -453,93 +453,7 @@
         return next_step::finished;
     if (outcome == call_outcome::endpoint_error && head_sent_)
         return next_step::finished;
-    // calls_ counts this call already, may_try_again() counts it itself.
-    --calls_;
-    const bool again = may_try_again(outcome);
-    ++calls_;
-    return again ? next_step::try_again : next_step::give_up;
-}
-
-asio::awaitable<bool> forwarding::answer_last_outcome()
-{
-    if (end_ != end_reason::none)
-        co_return co_await answer_ended();
-    switch (last_outcome_)
-    {
-    case call_outcome::not_run:
-    case call_outcome::replaced:
-    case call_outcome::unreachable:
-        if (!may_have_run())
-            co_return co_await answer_failure(
-                error_kind::overloaded, name_of(last_outcome_),
-                answer_for(error_kind::overloaded).retry_after / 4);
-        break;
-    default:
-        break;
-    }
-    co_return co_await answer_failure(error_kind::back_end_failed,
-                                      name_of(last_outcome_), 0);
-}
-
-asio::awaitable<bool> forwarding::answer_refusal(dispatch_refusal refusal)
-{
-    // "Not run" would be untrue once an endpoint had the request.
-    if (may_have_run())
-        co_return co_await answer_failure(error_kind::back_end_failed,
-                                          refusal.reason, 0);
-    co_return co_await answer_failure(refusal.kind, refusal.reason,
-                                      refusal.retry_after);
-}
-
-asio::awaitable<bool> forwarding::answer_ended()
-{
-    if (end_ == end_reason::client_gone || client_.client_gone())
-    {
-        log_end(log_event::cancelled, "client_gone", "");
-        client_.abort();
-        co_return false;
-    }
-    if (may_have_run())
-        co_return co_await answer_failure(error_kind::deadline_exceeded,
-                                          "out of time at the endpoint", 0);
-    co_return co_await answer_failure(
-        error_kind::overloaded, "out of time before it could be placed",
-        answer_for(error_kind::overloaded).retry_after / 4);
-}
-
-asio::awaitable<bool> forwarding::answer_failure(error_kind kind,
-                                                 std::string_view reason,
-                                                 msec retry_after)
-{
-    log_end(log_event::failed, name_of(kind), reason);
-    if (head_sent_)
-    {
-        // A broken answer must look broken.
-        client_.abort();
-        co_return false;
-    }
-    head_sent_ = true;
-    std::string message(reason);
-    co_return co_await client_.refuse(kind, std::move(message), retry_after,
-                                      keep_);
-}
-
-void forwarding::log_end(log_event event, std::string_view kind,
-                         std::string_view reason) const
-{
-    const auto spent = now() - request_.received.received_at;
-    state_.metrics.observe(request_stage::whole, spent);
-    state_.log.write(
-        event, {{"request", std::string_view(request_.facts.attempt)},
-                {"route", std::string_view(request_.way->name)},
-                {"kind", kind},
-                {"reason", reason},
-                {"ms", spent},
-                {"calls", static_cast<std::int64_t>(calls_ + (call_ ? 1 : 0))},
-                {"last_outcome", name_of(last_outcome_)},
-                {"events", static_cast<std::int64_t>(events_sent_)},
-                {"longest_pause_ms", longest_pause_},
-                {"first_event_ms", first_event_ms_}});
+    return may_try_again(outcome) ? next_step::try_again : next_step::give_up;
 }
 
 } // namespace galenapulley
--- /dev/null
+++ b/src/gateway/forwarding_answers.cpp
@@ -0,0 +1,95 @@
+#include "gateway/client_connection.hpp"
+#include "gateway/forwarding.hpp"
+
+#include <utility>
+
+// Answers of the system's own to requests that endpoints didn't answer.
+
+namespace galenapulley
+{
+
+namespace asio = boost::asio;
+
+asio::awaitable<bool> forwarding::answer_last_outcome()
+{
+    if (end_ != end_reason::none)
+        co_return co_await answer_ended();
+    switch (last_outcome_)
+    {
+    case call_outcome::not_run:
+    case call_outcome::replaced:
+    case call_outcome::unreachable:
+        if (!may_have_run())
+            co_return co_await answer_failure(
+                error_kind::overloaded, name_of(last_outcome_),
+                answer_for(error_kind::overloaded).retry_after / 4);
+        break;
+    default:
+        break;
+    }
+    co_return co_await answer_failure(error_kind::back_end_failed,
+                                      name_of(last_outcome_), 0);
+}
+
+asio::awaitable<bool> forwarding::answer_refusal(dispatch_refusal refusal)
+{
+    // "Not run" would be untrue once an endpoint had the request.
+    if (may_have_run())
+        co_return co_await answer_failure(error_kind::back_end_failed,
+                                          refusal.reason, 0);
+    co_return co_await answer_failure(refusal.kind, refusal.reason,
+                                      refusal.retry_after);
+}
+
+asio::awaitable<bool> forwarding::answer_ended()
+{
+    if (end_ == end_reason::client_gone || client_.client_gone())
+    {
+        log_end(log_event::cancelled, "client_gone", "");
+        client_.abort();
+        co_return false;
+    }
+    if (may_have_run())
+        co_return co_await answer_failure(error_kind::deadline_exceeded,
+                                          "out of time at the endpoint", 0);
+    co_return co_await answer_failure(
+        error_kind::overloaded, "out of time before it could be placed",
+        answer_for(error_kind::overloaded).retry_after / 4);
+}
+
+asio::awaitable<bool> forwarding::answer_failure(error_kind kind,
+                                                 std::string_view reason,
+                                                 msec retry_after)
+{
+    log_end(log_event::failed, name_of(kind), reason);
+    if (head_sent_)
+    {
+        // A broken answer must look broken.
+        client_.abort();
+        co_return false;
+    }
+    head_sent_ = true;
+    std::string message(reason);
+    co_return co_await client_.refuse(kind, std::move(message), retry_after,
+                                      keep_);
+}
+
+void forwarding::log_end(log_event event, std::string_view kind,
+                         std::string_view reason) const
+{
+    const auto spent = now() - request_.received.received_at;
+    state_.metrics.observe(request_stage::whole, spent);
+    state_.log.write(event,
+                     {{"request", std::string_view(request_.facts.attempt)},
+                      {"route", std::string_view(request_.way->name)},
+                      {"kind", kind},
+                      {"reason", reason},
+                      {"ms", spent},
+                      {"calls", static_cast<std::int64_t>(calls_)},
+                      {"last_outcome", name_of(last_outcome_)},
+                      {"events", static_cast<std::int64_t>(events_sent_)},
+                      {"longest_pause_ms", longest_pause_},
+                      {"first_event_ms", first_event_ms_}});
+}
+
+} // namespace galenapulley
--- a/src/gateway/wire_format.hpp
+++ b/src/gateway/wire_format.hpp
@@ -58,8 +58,6 @@
     bool replaced = false;
     /// Carries the endpoint's signature.
     bool sealed = false;
-    /// Address of the endpoint at fault, if it is another one.
-    std::string at_fault{};
 };
 
 struct directory_query
