Settings: derived numbers need not be whole

A grace time with a fraction would have failed the same way, as the template wrote '000' behind it. Change: retry_base, memory_mb and the new memory_return_ms take decimals; stop_grace_ms becomes stop_grace_s. The test failed before.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view document_kind = "gateway settings";
 constexpr std::array<std::string_view, 4> log_levels{"debug", "info", "warning",
                                                      "error"};
+constexpr double ms_per_second = 1000;
 
 } // namespace
 
@@ -37,11 +38,17 @@
         out.metrics = reader.text("metrics", address_rule);
     out.store = reader.text("store", address_rule);
     out.seeds = reader.names("seeds", address_rule, false);
-    out.stop_grace = reader.number("stop_grace_ms", 1000, 600'000, 8000);
+    // Deployments derive some of these, so they need not be whole.
+    out.stop_grace = static_cast<msec>(
+        ms_per_second * reader.decimal("stop_grace_s", 1, 600, 8));
     out.directory_ttl = reader.number("directory_ttl_ms", 100, 60'000, 2000);
-    out.retry_base = reader.number("retry_base", 0, 1'000'000, 100);
+    out.retry_base = static_cast<std::uint32_t>(
+        reader.decimal("retry_base", 0, 1'000'000, 100));
     out.retry_ratio = reader.decimal("retry_ratio", 0, 10, 0.1);
-    out.memory_mb = reader.number("memory_mb", 16, 1'000'000, 128);
+    out.memory_return = static_cast<msec>(
+        reader.decimal("memory_return_ms", 500, 60'000, 4000));
+    out.memory_mb = static_cast<std::uint64_t>(
+        reader.decimal("memory_mb", 16, 1'000'000, 128));
     out.log_level = reader.choice("log_level", log_levels, std::string("info"));
     reader.finish();
     if (!faults.empty())
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -39,6 +39,9 @@
     /// requests.
     std::uint32_t retry_base = 100;
     double retry_ratio = 0.1;
+    /// Time in which endpoints have the memory back that was set aside for a
+    /// request, after its end.
+    msec memory_return = 4000;
     std::uint64_t memory_mb = 128;
     std::string log_level = "info";
 };
--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -126,16 +126,11 @@
     boost::filesystem::create_directories(directory);
     const auto file = (directory / "settings.json").string();
     log_file_ = (directory / "log.txt").string();
-    std::ofstream(file) << nlohmann::json{{"node", name},
-                                          {"failure_domain", zone},
-                                          {"traffic", traffic_},
-                                          {"ready", ready_},
-                                          {"directory", directory_},
-                                          {"peer", peer_},
-                                          {"metrics", metrics_},
-                                          {"store", store_address},
-                                          {"seeds", seeds},
-                                          {"stop_grace_ms", 4000}};
+    std::ofstream(file) << nlohmann::json{
+        {"node", name},        {"failure_domain", zone},  {"traffic", traffic_},
+        {"ready", ready_},     {"directory", directory_}, {"peer", peer_},
+        {"metrics", metrics_}, {"store", store_address},  {"seeds", seeds},
+        {"stop_grace_s", 4}};
     process_ = std::make_unique<child_process>(
         std::getenv("GALENAPULLEY_BINARY"),
         std::vector<std::string>{"gateway", "--config", file}, log_file_,
@@ -184,7 +179,8 @@
 }
 
 std::string sample_configuration(std::uint64_t version,
-                                 const std::string& extra_route)
+                                 const std::string& extra_route,
+                                 std::uint64_t engine_tokens)
 {
     const auto route = [](const std::string& name, const std::string& prefix,
                           const std::string& kind, int attempts)
@@ -215,6 +211,16 @@
           {"HeaderTimeoutMs", 1000},
           {"IdleTimeoutMs", 5000}}},
         {"Tenants", {{{"Name", "club"}, {"ApiKeys", {"key-1"}}}}}};
+    if (engine_tokens > 0)
+        out["Services"][0]["Engine"] = {{"Slots", 4},
+                                        {"KvCapacityTokens", engine_tokens},
+                                        {"Stride", 34},
+                                        {"step_ms", 1.3},
+                                        {"per_seq_ms", 0.001},
+                                        {"context_per_k", 0.002},
+                                        {"read_per_s", 154'000.0},
+                                        {"pairs_per_m", 0.16},
+                                        {"chunk", 2048}};
     if (!extra_route.empty())
         out["Routes"].push_back(route("extra", extra_route, "idempotent", 2));
     return out.dump();
--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -81,8 +81,10 @@
 
 /// A configuration with a stream route (/s/), an idempotent route (/i/) and a
 /// non-idempotent route (/n/) to service "svc", for the key "key-1" of "club".
+/// With `engine_tokens` the service's endpoints are engines with that memory.
 std::string sample_configuration(std::uint64_t version,
-                                 const std::string& extra_route = "");
+                                 const std::string& extra_route = "",
+                                 std::uint64_t engine_tokens = 0);
 
 /// A request with the headers that every client sends.
 std::string sample_request(const std::string& method, const std::string& target,
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -22,7 +22,7 @@
 BOOST_AUTO_TEST_CASE(settings_are_read_with_defaults)
 {
     const auto settings = parse_gateway_settings(
-        sample(R"(,"retry_ratio":0.2,"stop_grace_ms":9000)"));
+        sample(R"(,"retry_ratio":0.2,"stop_grace_s":9)"));
     BOOST_TEST_REQUIRE(settings.ok());
     BOOST_TEST(settings->node == "n1");
     BOOST_TEST(settings->retry_ratio == 0.2);
@@ -31,6 +31,20 @@
     BOOST_TEST(settings->metrics.empty());
 }
 
+// Guards against a node that doesn't start: a deployment of another size
+// scales some of the numbers.
+BOOST_AUTO_TEST_CASE(derived_numbers_need_not_be_whole)
+{
+    const auto settings = parse_gateway_settings(
+        sample(R"(,"retry_base":68.64,"stop_grace_s":7.5,)"
+               R"("memory_return_ms":3999.5,"memory_mb":181.7)"));
+    BOOST_TEST_REQUIRE(settings.ok());
+    BOOST_TEST(settings->retry_base == 68U);
+    BOOST_TEST(settings->stop_grace == 7500);
+    BOOST_TEST(settings->memory_return == 3999);
+    BOOST_TEST(settings->memory_mb == 181U);
+}
+
 // Guards against a node that starts with a setting it misread.
 BOOST_AUTO_TEST_CASE(faults_are_named)
 {
