--- a/src/galenapulley/counters.hpp
+++ b/src/galenapulley/counters.hpp
@@ -22,7 +22,8 @@
     stream_resumed,
     stream_restarted,
     owner_silent,
-    permit_refused
+    permit_refused,
+    memory_refused
 };
 
 enum class state_change
--- a/src/galenapulley/fleet_load.cpp
+++ b/src/galenapulley/fleet_load.cpp
@@ -123,6 +123,29 @@
     replace_node(node, {}, now);
 }
 
+void fleet_load::add_memory(endpoint_load& load, const placed_work& work,
+                            endpoint_key key)
+{
+    if (work.held_tokens.empty())
+    {
+        if (work.endpoints.front() != key)
+            return;
+        load.memory_tokens += work.prompt_tokens + work.output_tokens;
+        load.context_tokens += work.prompt_tokens;
+        return;
+    }
+    const auto it =
+        std::find(work.endpoints.begin(), work.endpoints.end(), key);
+    const auto n = static_cast<std::size_t>(it - work.endpoints.begin());
+    if (n >= work.held_tokens.size())
+        return;
+    load.memory_tokens += work.held_tokens[n];
+    // The runner waits in each step for the endpoint that holds most.
+    load.context_tokens += n == 0 ? *std::max_element(work.held_tokens.begin(),
+                                                      work.held_tokens.end())
+                                  : work.held_tokens[n];
+}
+
 endpoint_load fleet_load::load_of(endpoint_key key, msec now) const
 {
     endpoint_load load;
@@ -146,14 +169,13 @@
     for (const auto request : it->second.requests)
     {
         const auto& work = work_.at(request);
+        add_memory(load, work, key);
         if (work.endpoints.front() != key)
         {
             load.helping += work.writing ? 0 : 1;
             continue;
         }
         ++load.running;
-        load.memory_tokens += work.prompt_tokens + work.output_tokens;
-        load.context_tokens += work.prompt_tokens;
         load.writers.push_back(
             {.gap_target = work.gap_target, .value = work.value});
     }
--- a/src/galenapulley/fleet_load.hpp
+++ b/src/galenapulley/fleet_load.hpp
@@ -23,6 +23,9 @@
     std::vector<endpoint_key> endpoints{};
     double prompt_tokens = 0;
     double output_tokens = 0;
+    /// Tokens that each of the endpoints holds in memory; empty if the first
+    /// one holds all.
+    std::vector<double> held_tokens{};
     /// Time that each of the endpoints needs to read its part.
     double part_ms = 0;
     /// Longest pause between events that its client accepts.
@@ -118,6 +121,8 @@
     /// Work done by `now`, over the reads in their order.
     static std::vector<read> reads_at(const lane& value, msec now);
     static void advance(lane& value, msec now);
+    static void add_memory(endpoint_load& load, const placed_work& work,
+                           endpoint_key key);
     void forget_read(const placed_work& work, msec now);
 
     std::unordered_map<std::uint64_t, placed_work> work_;
--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -30,6 +30,11 @@
 /// short prompts.
 constexpr double packing_weight = 0.1;
 constexpr double cross_domain_weight = 0.001;
+/// Part of an engine's memory that is not counted on when memory is set aside
+/// in advance: estimates of the outputs that are being written are often low.
+constexpr double spare_memory_share = 0.03;
+/// Loss of one more endpoint that holds memory, for the orders it takes.
+constexpr double holder_weight = 0.06;
 
 /// 0 while `time` is well within `limit`, 1 beyond it.
 double lateness(double time, double limit)
@@ -48,6 +53,26 @@
     bool can_run = false;
 };
 
+/// Shares `tokens` out evenly up to each holder's limit; empty if the limits
+/// don't suffice.
+std::vector<double> even_shares(double tokens, std::vector<double> limits)
+{
+    std::vector<std::size_t> order(limits.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::sort(order.begin(), order.end(),
+              [&limits](std::size_t a, std::size_t b)
+              { return limits[a] < limits[b]; });
+    std::vector<double> out(limits.size());
+    auto left = static_cast<double>(limits.size());
+    for (const auto n : order)
+    {
+        out[n] = std::min(std::max(limits[n], 0.0), tokens / left);
+        tokens -= out[n];
+        left -= 1;
+    }
+    return tokens > 1 ? std::vector<double>() : out;
+}
+
 class planner
 {
 public:
@@ -161,7 +186,7 @@
             std::find_if(sorted.begin(), sorted.end(),
                          [](const option& it) { return it.can_run; });
         if (runner == sorted.end())
-            return std::nullopt;
+            return with_shared_memory(sorted, parts);
         const auto& first = candidates_[runner->index];
         placement_choice out{.chosen = {runner->index},
                              .part_ms = read_ms_ / static_cast<double>(parts)};
@@ -177,11 +202,69 @@
             disturbed += it.harm;
             ahead = std::max(ahead, candidates_[it.index].load.backlog_ms);
         }
+        finish(out, ahead, disturbed);
+        return out;
+    }
+
+    /// The cheapest endpoints hold the prompt together.
+    std::optional<placement_choice>
+    with_shared_memory(const std::vector<option>& sorted,
+                       std::size_t parts) const
+    {
+        const auto runner =
+            std::find_if(sorted.begin(), sorted.end(),
+                         [this](const option& it)
+                         { return can_share_memory(candidates_[it.index]); });
+        if (!request_.may_share_memory || parts < 2 || runner == sorted.end())
+            return std::nullopt;
+        placement_choice out{.chosen = {runner->index},
+                             .part_ms = read_ms_ / static_cast<double>(parts)};
+        std::vector<double> limits{free_tokens(candidates_[runner->index]) -
+                                   request_.output_tokens};
+        double disturbed = runner->harm;
+        double ahead = candidates_[runner->index].load.backlog_ms;
+        for (const auto& it : sorted)
+        {
+            if (out.chosen.size() == parts)
+                break;
+            if (it.index == runner->index)
+                continue;
+            out.chosen.push_back(it.index);
+            limits.push_back(free_tokens(candidates_[it.index]));
+            disturbed += it.harm;
+            ahead = std::max(ahead, candidates_[it.index].load.backlog_ms);
+        }
+        out.held_tokens =
+            even_shares(request_.prompt_tokens, std::move(limits));
+        if (out.held_tokens.empty())
+            return std::nullopt;
+        out.held_tokens.front() += request_.output_tokens;
+        finish(out, ahead, disturbed);
+        out.loss += holder_weight * static_cast<double>(parts - 1);
+        return out;
+    }
+
+    double free_tokens(const placement_candidate& it) const
+    {
+        return (1 - spare_memory_share) * engine_.memory_tokens -
+               it.load.memory_tokens;
+    }
+
+    bool can_share_memory(const placement_candidate& it) const
+    {
+        return it.load.running < it.slots &&
+               free_tokens(it) > request_.output_tokens;
+    }
+
+    /// Fills in the expected time and loss of a choice whose endpoints have
+    /// `ahead` to read first and lose `disturbed`.
+    void finish(placement_choice& out, double ahead, double disturbed) const
+    {
+        const auto& first = candidates_[out.chosen.front()];
         out.first_event_ms = first_event_ms(first, ahead, out.part_ms);
         out.loss = disturbed - packing(first) + own_loss(out.first_event_ms) +
-                   part_weight * static_cast<double>(parts - 1) +
+                   part_weight * static_cast<double>(out.chosen.size() - 1) +
                    (first.same_domain ? 0 : cross_domain_weight);
-        return out;
     }
 
     /// Time to the first event behind `ahead`. A read begins with a pass of
@@ -221,6 +304,12 @@
     return planner(engine, request, candidates).best();
 }
 
+double shared_memory_tokens(const engine_profile& engine, std::size_t endpoints)
+{
+    return (1 - spare_memory_share) * engine.memory_tokens *
+           static_cast<double>(endpoints);
+}
+
 std::optional<placement_choice>
 place_plain(std::span<const placement_candidate> candidates)
 {
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -28,6 +28,8 @@
     double value = 1;
     /// Endpoints that may read parts of the prompt, the first one included.
     std::size_t max_parts = 1;
+    /// The prompt's memory may be set aside at several endpoints.
+    bool may_share_memory = false;
 };
 
 /// An endpoint that may take the request.
@@ -42,6 +44,8 @@
 {
     /// Positions of the chosen candidates; the first one runs the request.
     std::vector<std::size_t> chosen{};
+    /// Tokens that each of them holds; empty if the first one holds all.
+    std::vector<double> held_tokens{};
     /// Time that each of them reads.
     double part_ms = 0;
     /// Expected time to the first event.
@@ -54,12 +58,17 @@
 /// prompts that take seconds to read alternate with bursts of short ones that
 /// must not pause: a long read is split so far that it is in time, over
 /// engines on which it delays few writers, and short prompts are packed on few
-/// engines, which leaves the others to the long reads. Empty if no candidate
-/// has a free slot and enough memory.
+/// engines, which leaves the others to the long reads. A prompt above one
+/// engine's memory is shared evenly by those that read it. Empty if no
+/// candidate has a free slot and enough memory.
 std::optional<placement_choice>
 place_prompt(const engine_profile& engine, const placement_request& request,
              std::span<const placement_candidate> candidates);
 
+/// Most tokens of one request that `endpoints` empty engines hold together.
+double shared_memory_tokens(const engine_profile& engine,
+                            std::size_t endpoints);
+
 /// Chooses an endpoint of a service that runs no model: the one with the
 /// largest free part of its slots, the own failure domain first. Empty if all
 /// slots are taken.
--- a/src/gateway/dispatch_port.hpp
+++ b/src/gateway/dispatch_port.hpp
@@ -26,7 +26,9 @@
     void request(dispatch_request item, answer_callback done);
     void cancel(std::uint64_t id);
     void on_first_event(std::uint64_t id);
-    void on_finished(std::uint64_t id, call_outcome outcome);
+    /// `at_fault` is 0 or the helper that is to blame for the outcome.
+    void on_finished(std::uint64_t id, call_outcome outcome,
+                     endpoint_key at_fault = 0);
 
 private:
     control_loop& control_;
--- a/src/gateway/dispatch_request.cpp
+++ b/src/gateway/dispatch_request.cpp
@@ -8,9 +8,17 @@
 std::string_view name_of(call_outcome outcome)
 {
     constexpr std::array<std::string_view, call_outcome_count> names{
-        "completed",   "endpoint_error",       "not_run",       "replaced",
-        "unreachable", "broken_before_answer", "broken_answer", "timed_out",
-        "stalled",     "client_gone"};
+        "completed",
+        "endpoint_error",
+        "not_run",
+        "replaced",
+        "unreachable",
+        "memory_refused",
+        "broken_before_answer",
+        "broken_answer",
+        "timed_out",
+        "stalled",
+        "client_gone"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -42,9 +42,14 @@
     bool repeat = false;
 };
 
+/// An endpoint that takes part in a request which another one runs.
 struct helper
 {
+    std::string id;
     std::string address;
+    endpoint_key key = 0;
+    /// Memory to set aside there under this name; 0 for none.
+    double held_tokens = 0;
     std::string reservation{};
 };
 
@@ -53,6 +58,8 @@
     endpoint runner{};
     endpoint_key key = 0;
     std::vector<helper> helpers{};
+    /// Memory has to be set aside at helpers before the request is sent.
+    bool shares_memory = false;
     double expected_first_event_ms = 0;
 };
 
@@ -77,6 +84,8 @@
     replaced,
     /// No connection could be made; nothing was sent.
     unreachable,
+    /// A helper has not set its memory aside; nothing was sent.
+    memory_refused,
     /// The connection ended without an answer after the request was sent.
     broken_before_answer,
     /// The answer broke off.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -61,22 +61,26 @@
     to.set_writing(from.writing);
     to.set_due_in_ms(static_cast<std::int32_t>(from.due_at - now));
     to.set_target_ms(static_cast<std::uint32_t>(from.target));
+    for (const auto tokens : from.held_tokens)
+        to.add_held_tokens(static_cast<std::uint32_t>(tokens));
 }
 
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now)
 {
-    return {.request = from.request(),
-            .node = node,
-            .endpoints = {from.endpoints().begin(), from.endpoints().end()},
-            .prompt_tokens = static_cast<double>(from.prompt_tokens()),
-            .output_tokens = static_cast<double>(from.output_tokens()),
-            .part_ms = from.part_ms(),
-            .gap_target = from.gap_target_ms(),
-            .value = from.value(),
-            .due_at = now + from.due_in_ms(),
-            .target = from.target_ms(),
-            .writing = from.writing()};
+    return {
+        .request = from.request(),
+        .node = node,
+        .endpoints = {from.endpoints().begin(), from.endpoints().end()},
+        .prompt_tokens = static_cast<double>(from.prompt_tokens()),
+        .output_tokens = static_cast<double>(from.output_tokens()),
+        .held_tokens = {from.held_tokens().begin(), from.held_tokens().end()},
+        .part_ms = from.part_ms(),
+        .gap_target = from.gap_target_ms(),
+        .value = from.value(),
+        .due_at = now + from.due_in_ms(),
+        .target = from.target_ms(),
+        .writing = from.writing()};
 }
 
 /// Ids of the endpoints that only read a part.
@@ -128,13 +132,11 @@
                done);
         return;
     }
-    const auto* const engine = engine_of(item);
-    if (engine != nullptr &&
-        item.prompt_tokens + item.output_tokens > engine->memory_tokens)
+    if (const auto reason = why_impossible(item); !reason.empty())
     {
         refuse(item,
                {.kind = error_kind::overloaded,
-                .reason = "needs more memory than one engine has",
+                .reason = std::string(reason),
                 .retry_after = retry_after_too_large},
                done);
         return;
@@ -153,6 +155,7 @@
     if (line_.empty() && try_place(item, done))
         return;
     const auto id = item.id;
+    const auto* const engine = engine_of(item);
     const double needs = engine == nullptr
                              ? 0
                              : engine->read_ms(item.prompt_tokens) /
@@ -173,6 +176,29 @@
                     {"waiting", static_cast<std::int64_t>(line_.size())}});
 }
 
+std::size_t dispatcher::readers(const dispatch_request& item) const
+{
+    return std::min(max_parts,
+                    registry_.usable(item.service, clock_.now()).size());
+}
+
+std::string_view dispatcher::why_impossible(const dispatch_request& item) const
+{
+    const auto* const engine = engine_of(item);
+    const auto n = readers(item);
+    if (engine == nullptr || n == 0 ||
+        item.prompt_tokens + item.output_tokens <= engine->memory_tokens)
+        return {};
+    if (item.prompt_tokens + item.output_tokens >
+        shared_memory_tokens(*engine, n))
+        return "needs more memory than the engines have";
+    const double shortest =
+        engine->read_ms(item.prompt_tokens) / static_cast<double>(n);
+    if (shortest > static_cast<double>(item.give_up_at - clock_.now()))
+        return "takes longer to read than its client waits";
+    return {};
+}
+
 bool dispatcher::may_use(const dispatch_request& item, const known_endpoint& it,
                          const endpoint_load& load) const
 {
@@ -216,7 +242,10 @@
     if (engine == nullptr)
         return place_plain(list.load);
     const auto now = clock_.now();
-    const bool split = engine->read_ms(item.prompt_tokens) > split_above_ms;
+    const bool above_one_engine =
+        item.prompt_tokens + item.output_tokens > engine->memory_tokens;
+    const bool split = above_one_engine ||
+                       engine->read_ms(item.prompt_tokens) > split_above_ms;
     const placement_request request{
         .prompt_tokens = item.prompt_tokens,
         .output_tokens = item.output_tokens,
@@ -225,7 +254,8 @@
         .waited_ms = static_cast<double>(now - item.received_at),
         .limit_ms = static_cast<double>(item.give_up_at - item.received_at),
         .value = value_of(item.prompt_tokens),
-        .max_parts = split ? max_parts : 1};
+        .max_parts = split ? max_parts : 1,
+        .may_share_memory = above_one_engine};
     return place_prompt(*engine, request, list.load);
 }
 
@@ -248,22 +278,30 @@
     const auto& runner = *list.endpoints[choice.chosen.front()];
     dispatch_grant out{.runner = runner.description,
                        .key = runner.key,
+                       .shares_memory = !choice.held_tokens.empty(),
                        .expected_first_event_ms = choice.first_event_ms};
     placed_work work{.request = item.id,
                      .node = options_.node,
                      .prompt_tokens = item.prompt_tokens,
                      .output_tokens = item.output_tokens,
+                     .held_tokens = choice.held_tokens,
                      .part_ms = choice.part_ms,
                      .gap_target = item.way->gap_target,
                      .value = value_of(item.prompt_tokens),
                      .due_at = item.received_at + item.way->target_latency,
                      .target = item.way->target_latency};
-    for (const auto n : choice.chosen)
+    for (std::size_t n = 0; n < choice.chosen.size(); ++n)
     {
-        work.endpoints.push_back(list.endpoints[n]->key);
-        if (n != choice.chosen.front())
-            out.helpers.push_back(
-                {.address = list.endpoints[n]->description.address});
+        const auto& it = *list.endpoints[choice.chosen[n]];
+        work.endpoints.push_back(it.key);
+        if (n == 0)
+            continue;
+        helper part{.id = it.description.id,
+                    .address = it.description.address,
+                    .key = it.key};
+        if (out.shares_memory)
+            part.held_tokens = choice.held_tokens[n];
+        out.helpers.push_back(std::move(part));
     }
     own_.emplace(item.id,
                  own_work{.runner = runner.key,
@@ -358,7 +396,8 @@
     announce_(update);
 }
 
-void dispatcher::on_finished(std::uint64_t id, call_outcome outcome)
+void dispatcher::on_finished(std::uint64_t id, call_outcome outcome,
+                             endpoint_key at_fault)
 {
     const auto it = own_.find(id);
     if (it == own_.end())
@@ -366,54 +405,52 @@
     const auto work = std::move(it->second);
     own_.erase(it);
     load_.remove(id, clock_.now());
-    note_failure(work, outcome);
+    note_failure(work, outcome, at_fault);
     wire::work_update update;
     update.add_ended(id);
     announce_(update);
     serve_waiting();
 }
 
-void dispatcher::note_failure(const own_work& work, call_outcome outcome)
+void dispatcher::note_failure(const own_work& work, call_outcome outcome,
+                              endpoint_key at_fault)
 {
     const auto now = clock_.now();
+    const auto failed = at_fault == 0 ? work.runner : at_fault;
     switch (outcome)
     {
     case call_outcome::completed:
         registry_.on_success(work.runner);
         return;
     case call_outcome::replaced:
-        registry_.on_replaced(work.runner, now);
+        registry_.on_replaced(failed, now);
         break;
     case call_outcome::unreachable:
     case call_outcome::stalled:
-        registry_.on_failure(work.runner, now);
+        registry_.on_failure(failed, now);
         break;
     case call_outcome::not_run:
-        registry_.on_full(work.runner, now);
+        if (at_fault == 0)
+        {
+            registry_.on_full(work.runner, now);
+            return;
+        }
+        registry_.on_failure(at_fault, now);
+        break;
+    case call_outcome::memory_refused:
+        registry_.on_full(failed, now);
         return;
     case call_outcome::broken_before_answer:
     case call_outcome::broken_answer:
-    {
         registry_.on_failure(work.runner, now);
-        const strike item{.fingerprint = work.fingerprint,
-                          .crash_id = work.runner + ++last_crash_,
-                          .at = now};
-        strikes_.add(item, now);
-        tell_strike_(item);
-        log_.write(
-            log_event::strike,
-            {{"request", std::string_view(work.attempt)},
-             {"outcome", name_of(outcome)},
-             {"quarantined", static_cast<std::int64_t>(strikes_.is_quarantined(
-                                 work.fingerprint, now))}});
+        note_strike(work, outcome);
         break;
-    }
     case call_outcome::endpoint_error:
     case call_outcome::timed_out:
     case call_outcome::client_gone:
         return;
     }
-    if (const auto* known = registry_.find(work.runner))
+    if (const auto* known = registry_.find(failed))
         log_.write(log_event::endpoint_avoided,
                    {{"endpoint", std::string_view(known->description.id)},
                     {"outcome", name_of(outcome)},
@@ -421,6 +458,22 @@
                     {"until_ms", known->avoid_until - now}});
 }
 
+void dispatcher::note_strike(const own_work& work, call_outcome outcome)
+{
+    const auto now = clock_.now();
+    const strike item{.fingerprint = work.fingerprint,
+                      .crash_id = work.runner + ++last_crash_,
+                      .at = now};
+    strikes_.add(item, now);
+    tell_strike_(item);
+    log_.write(
+        log_event::strike,
+        {{"request", std::string_view(work.attempt)},
+         {"outcome", name_of(outcome)},
+         {"quarantined", static_cast<std::int64_t>(
+                             strikes_.is_quarantined(work.fingerprint, now))}});
+}
+
 void dispatcher::announce_all()
 {
     wire::work_update update;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -57,7 +57,9 @@
     /// The client has gone or given up while the request waits.
     void cancel(std::uint64_t id);
     void on_first_event(std::uint64_t id);
-    void on_finished(std::uint64_t id, call_outcome outcome);
+    /// `at_fault` is 0 or the helper that is to blame for the outcome.
+    void on_finished(std::uint64_t id, call_outcome outcome,
+                     endpoint_key at_fault = 0);
 
     /// Tries again what waits and refuses what waits in vain.
     void tick();
@@ -112,7 +114,13 @@
     void refuse(const dispatch_request& item, dispatch_refusal refusal,
                 const answer_callback& done);
     void serve_waiting();
-    void note_failure(const own_work& work, call_outcome outcome);
+    void note_failure(const own_work& work, call_outcome outcome,
+                      endpoint_key at_fault);
+    void note_strike(const own_work& work, call_outcome outcome);
+    /// Why no endpoints of the service can serve the request in time, however
+    /// idle they are; empty if they can.
+    std::string_view why_impossible(const dispatch_request& item) const;
+    std::size_t readers(const dispatch_request& item) const;
 
     dispatcher_options options_;
     const clock& clock_;
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -41,6 +41,8 @@
     endpoint_avoided,
     request_read,
     placed,
+    memory_set_aside,
+    memory_refused,
     queued,
     refused,
     sent_again,
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
@@ -78,6 +79,8 @@
 forwarding::~forwarding()
 {
     give_up_timer_.cancel();
+    if (reservation_)
+        reservation_->release();
 }
 
 void forwarding::on_client_gone()
@@ -143,7 +146,9 @@
             .give_up_at = request_.give_up_at,
             .fingerprint = request_.fingerprint,
             .tried = tried_,
-            .repeat = calls_ > 0 && last_outcome_ != call_outcome::unreachable};
+            .repeat = calls_ > 0 &&
+                      last_outcome_ != call_outcome::unreachable &&
+                      last_outcome_ != call_outcome::memory_refused};
 }
 
 std::shared_ptr<forwarding::pending_answer>
@@ -199,13 +204,20 @@
     if (calls_ == 1)
         state_.metrics.observe(request_stage::placement,
                                placed_at_ - request_.received.received_at);
+    at_fault_ = 0;
     call_ = std::make_shared<endpoint_call>(state_.io);
-    const auto outcome = co_await exchange(grant);
+    auto outcome = call_outcome::completed;
+    if (grant.shares_memory)
+        outcome = co_await set_memory_aside(grant);
+    if (outcome == call_outcome::completed)
+        outcome = co_await exchange(grant);
     call_->cancel();
     call_.reset();
+    if (reservation_)
+        std::exchange(reservation_, nullptr)->release();
     state_.metrics.count(outcome);
-    state_.dispatch.on_finished(dispatch_id_, outcome);
-    tried_.push_back(grant.key);
+    state_.dispatch.on_finished(dispatch_id_, outcome, at_fault_);
+    tried_.push_back(at_fault_ == 0 ? grant.key : at_fault_);
     last_outcome_ = outcome;
     const auto next = after(outcome);
     if (next == next_step::try_again)
@@ -213,6 +225,63 @@
     co_return next;
 }
 
+void forwarding::start_reservation(dispatch_grant& grant)
+{
+    std::vector<helper> holders;
+    for (auto& it : grant.helpers)
+    {
+        if (it.held_tokens <= 0)
+            continue;
+        it.reservation = fmt::format("{:x}-{:x}", dispatch_id_, it.key);
+        holders.push_back(it);
+    }
+    reservation_ =
+        std::make_shared<memory_reservation>(state_, std::move(holders));
+    wake_.expires_at(std::chrono::steady_clock::time_point::max());
+    reservation_->take([this] { wake_.cancel(); });
+}
+
+asio::awaitable<call_outcome>
+forwarding::set_memory_aside(dispatch_grant& grant)
+{
+    start_reservation(grant);
+    boost::system::error_code ec;
+    co_await wake_.async_wait(redirect_error(use_awaitable, ec));
+    co_return outcome_of_reservation();
+}
+
+call_outcome forwarding::outcome_of_reservation()
+{
+    if (end_ != end_reason::none)
+        return end_ == end_reason::client_gone ? call_outcome::client_gone
+                                               : call_outcome::timed_out;
+    const auto* const failed = reservation_->failed();
+    state_.log.write(
+        failed == nullptr ? log_event::memory_set_aside
+                          : log_event::memory_refused,
+        {{"request", std::string_view(request_.facts.attempt)},
+         {"endpoint", failed == nullptr ? std::string_view()
+                                        : std::string_view(failed->id)},
+         {"answered", static_cast<std::int64_t>(failed == nullptr ||
+                                                reservation_->was_refused())},
+         {"holders", static_cast<std::int64_t>(reservation_->size())},
+         {"tokens", reservation_->tokens()},
+         {"ms", now() - placed_at_}});
+    if (failed == nullptr)
+        return call_outcome::completed;
+    at_fault_ = failed->key;
+    return reservation_->was_refused() ? call_outcome::memory_refused
+                                       : call_outcome::unreachable;
+}
+
+void forwarding::note_fault(const dispatch_grant& grant,
+                            const answer_facts& facts)
+{
+    for (const auto& it : grant.helpers)
+        if (facts.at_fault == it.id || facts.at_fault == it.address)
+            at_fault_ = it.key;
+}
+
 void forwarding::note_next_attempt(const dispatch_grant& grant,
                                    call_outcome outcome) const
 {
@@ -220,6 +289,8 @@
     state_.count.count(resumes ? retry_reason::stream_resumed
                        : outcome == call_outcome::unreachable
                            ? retry_reason::connect_failed
+                       : outcome == call_outcome::memory_refused
+                           ? retry_reason::memory_refused
                            : retry_reason::back_end_failed);
     state_.log.write(
         resumes ? log_event::resumed : log_event::sent_again,
@@ -264,6 +335,7 @@
     }
     auto headers = call_->headers();
     const auto facts = state_.format.read_answer(call_->status(), headers);
+    note_fault(grant, facts);
     co_return co_await take_head(facts, std::move(headers));
 }
 
@@ -429,6 +501,7 @@
     switch (outcome)
     {
     case call_outcome::unreachable:
+    case call_outcome::memory_refused:
     case call_outcome::replaced:
         return !may_have_run_ || (way.repeatable() && runs_left);
     case call_outcome::not_run:
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -4,6 +4,7 @@
 #include "gateway/client_request.hpp"
 #include "gateway/dispatch_request.hpp"
 #include "gateway/endpoint_call.hpp"
+#include "gateway/memory_reservation.hpp"
 #include "gateway/traffic_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -71,6 +72,11 @@
     void note_next_attempt(const dispatch_grant& grant,
                            call_outcome outcome) const;
     boost::asio::awaitable<next_step> call_endpoint(dispatch_grant grant);
+    boost::asio::awaitable<call_outcome>
+    set_memory_aside(dispatch_grant& grant);
+    void start_reservation(dispatch_grant& grant);
+    call_outcome outcome_of_reservation();
+    void note_fault(const dispatch_grant& grant, const answer_facts& facts);
     boost::asio::awaitable<call_outcome> exchange(const dispatch_grant& grant);
     boost::asio::awaitable<call_outcome> take_head(const answer_facts& facts,
                                                    header_list headers);
@@ -104,6 +110,9 @@
     /// Wakes run() when the dispatcher has answered or the request ends.
     boost::asio::steady_timer wake_;
     std::shared_ptr<endpoint_call> call_;
+    std::shared_ptr<memory_reservation> reservation_;
+    /// The helper to blame for the last call's outcome; 0 for none.
+    endpoint_key at_fault_ = 0;
     end_reason end_ = end_reason::none;
 
     std::uint64_t dispatch_id_ = 0;
--- a/src/gateway/forwarding_answers.cpp
+++ b/src/gateway/forwarding_answers.cpp
@@ -19,6 +19,7 @@
     case call_outcome::not_run:
     case call_outcome::replaced:
     case call_outcome::unreachable:
+    case call_outcome::memory_refused:
         if (!may_have_run())
             co_return co_await answer_failure(
                 error_kind::overloaded, name_of(last_outcome_),
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -42,6 +42,9 @@
     , answers_(registry.add("galenapulley_answers_total",
                             "Answers to clients by class of status", "class",
                             {"other", "1xx", "2xx", "3xx", "4xx", "5xx"}))
+    , orders_(registry.add("galenapulley_memory_orders_total",
+                           "Orders about endpoints' memory by their answer",
+                           "answer", {"done", "refused", "unclear"}))
 {
 }
 
@@ -63,6 +66,11 @@
     outcomes_.increment(static_cast<std::size_t>(outcome));
 }
 
+void gateway_metrics::count(order_answer answer)
+{
+    orders_.increment(static_cast<std::size_t>(answer));
+}
+
 void gateway_metrics::count_answer(int status)
 {
     const auto group = static_cast<std::size_t>(status / 100);
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -3,6 +3,7 @@
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
 #include "gateway/dispatch_request.hpp"
+#include "gateway/wire_format.hpp"
 
 #include <array>
 #include <atomic>
@@ -56,6 +57,7 @@
     void observe(request_stage stage, msec elapsed);
     void set(gauge which, std::int64_t value);
     void count(call_outcome outcome);
+    void count(order_answer answer);
     void count_answer(int status);
 
     /// Histograms and gauges in the metrics text format.
@@ -75,6 +77,7 @@
 
     counter_family& outcomes_;
     counter_family& answers_;
+    counter_family& orders_;
     std::array<histogram, request_stage_count> histograms_;
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
 };
--- /dev/null
+++ b/src/gateway/memory_reservation.cpp
@@ -0,0 +1,159 @@
+#include "gateway/memory_reservation.hpp"
+
+#include "gateway/endpoint_call.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <numeric>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Endpoints answer orders within milliseconds.
+constexpr msec order_limit = 400;
+/// Part of the time in which memory has to be back for which it is held; the
+/// rest is for the order's way.
+constexpr double hold_share = 0.85;
+/// Renewals within a holding span, of which all but one may be lost.
+constexpr msec renewals_per_hold = 3;
+/// Pause between orders that give memory back until one is sure to be the
+/// last.
+constexpr msec release_pause = 1500;
+
+asio::awaitable<void> wait(asio::steady_timer& timer, msec span)
+{
+    timer.expires_after(std::chrono::milliseconds(span));
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+} // namespace
+
+memory_reservation::memory_reservation(traffic_state& state,
+                                       std::vector<helper> holders)
+    : state_(state), holders_(std::move(holders))
+{
+}
+
+double memory_reservation::tokens() const
+{
+    return std::accumulate(holders_.begin(), holders_.end(), 0.0,
+                           [](double sum, const helper& it)
+                           { return sum + it.held_tokens; });
+}
+
+memory_order memory_reservation::order_for(const helper& holder) const
+{
+    const auto span = static_cast<double>(state_.settings.memory_return);
+    return {.reservation = holder.reservation,
+            .tokens = holder.held_tokens,
+            .hold = static_cast<msec>(hold_share * span),
+            .endpoint = holder.id,
+            .address = holder.address};
+}
+
+void memory_reservation::take(std::function<void()> done)
+{
+    done_ = std::move(done);
+    for (const auto& it : holders_)
+        holdings_.push_back(std::make_shared<holding>(
+            holding{.holder = &it, .pause = asio::steady_timer(state_.io)}));
+    for (const auto& it : holdings_)
+        asio::co_spawn(
+            state_.io,
+            [self = shared_from_this(), it] { return self->hold(it); },
+            asio::detached);
+}
+
+asio::awaitable<void> memory_reservation::hold(std::shared_ptr<holding> item)
+{
+    const auto order = order_for(*item->holder);
+    const auto first = co_await give(item, order);
+    note_first(*item->holder, first);
+    if (first == order_answer::refused)
+        co_return;
+    while (!released_)
+    {
+        co_await wait(item->pause, order.hold / renewals_per_hold);
+        if (!released_)
+            co_await give(item, order);
+    }
+    co_await give_back(item);
+}
+
+asio::awaitable<void>
+memory_reservation::give_back(std::shared_ptr<holding> item)
+{
+    auto order = order_for(*item->holder);
+    order.tokens = 0;
+    // As long as an order to set memory aside may still be carried out, no
+    // answer settles that the memory stays free.
+    const auto until = item->unclear_at ? *item->unclear_at + late_order_time
+                                        : now() + order.hold;
+    for (;;)
+    {
+        const auto answer = co_await give(item, order);
+        const bool settled =
+            !item->unclear_at && answer != order_answer::unclear;
+        if (settled || now() >= until)
+            co_return;
+        co_await wait(item->pause, release_pause);
+    }
+}
+
+asio::awaitable<order_answer>
+memory_reservation::give(std::shared_ptr<holding> item, memory_order order)
+{
+    const auto call = std::make_shared<endpoint_call>(state_.io);
+    auto answer = order_answer::unclear;
+    const auto connected = co_await call->connect(order.address, order_limit);
+    if (connected == call_step::done)
+    {
+        auto text = state_.format.order_text(order);
+        const auto head =
+            co_await call->exchange_head(std::move(text), false, order_limit);
+        if (head == call_step::done)
+            answer = state_.format.read_order_answer(call->status());
+    }
+    call->cancel();
+    state_.metrics.count(answer);
+    if (answer == order_answer::unclear && call->sent() && order.tokens > 0)
+    {
+        item->unclear_at = now();
+    }
+    co_return answer;
+}
+
+void memory_reservation::note_first(const helper& holder, order_answer answer)
+{
+    if (answer == order_answer::done)
+        ++confirmed_;
+    else if (failed_ == nullptr)
+    {
+        failed_ = &holder;
+        refused_ = answer == order_answer::refused;
+    }
+    if ((failed_ != nullptr || is_complete()) && done_)
+        std::exchange(done_, nullptr)();
+}
+
+void memory_reservation::release()
+{
+    released_ = true;
+    done_ = nullptr;
+    for (const auto& it : holdings_)
+        it->pause.cancel();
+}
+
+} // namespace galenapulley
--- /dev/null
+++ b/src/gateway/memory_reservation.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "gateway/dispatch_request.hpp"
+#include "gateway/traffic_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace galenapulley
+{
+
+/// Memory that one request has at several endpoints. It is held for short
+/// spans that are renewed, so that it is free soon after a node has died.
+/// Used on the traffic thread.
+class memory_reservation
+    : public std::enable_shared_from_this<memory_reservation>
+{
+public:
+    memory_reservation(traffic_state& state, std::vector<helper> holders);
+
+    /// Sets the memory aside. `done` is called once, when every endpoint has
+    /// done so or the first one has not.
+    void take(std::function<void()> done);
+    /// Whether all endpoints hold the memory.
+    bool is_complete() const { return confirmed_ == holders_.size(); }
+    /// The endpoint that has not set its memory aside; null for none.
+    const helper* failed() const { return failed_; }
+    std::size_t size() const { return holders_.size(); }
+    double tokens() const;
+    /// Whether that endpoint has answered.
+    bool was_refused() const { return refused_; }
+
+    /// Gives all memory back, also what is being set aside.
+    void release();
+
+    /// An order that got no answer may be carried out this late.
+    static constexpr msec late_order_time = 13'000;
+
+private:
+    struct holding
+    {
+        const helper* holder = nullptr;
+        /// When the last order to set memory aside got no answer.
+        std::optional<msec> unclear_at{};
+        boost::asio::steady_timer pause;
+    };
+
+    boost::asio::awaitable<void> hold(std::shared_ptr<holding> item);
+    boost::asio::awaitable<void> give_back(std::shared_ptr<holding> item);
+    boost::asio::awaitable<order_answer> give(std::shared_ptr<holding> item,
+                                              memory_order order);
+    memory_order order_for(const helper& holder) const;
+    void note_first(const helper& holder, order_answer answer);
+    msec now() const { return state_.time.now(); }
+
+    traffic_state& state_;
+    std::vector<helper> holders_;
+    std::vector<std::shared_ptr<holding>> holdings_;
+    std::function<void()> done_;
+    std::size_t confirmed_ = 0;
+    const helper* failed_ = nullptr;
+    bool refused_ = false;
+    bool released_ = false;
+};
+
+} // namespace galenapulley
--- a/src/gateway/wire_format.hpp
+++ b/src/gateway/wire_format.hpp
@@ -58,8 +58,35 @@
     bool replaced = false;
     /// Carries the endpoint's signature.
     bool sealed = false;
+    /// Address or id of another endpoint whose fault the refusal is.
+    std::string at_fault{};
 };
 
+/// Sets memory aside at an endpoint, prolongs that, or gives it back.
+struct memory_order
+{
+    std::string reservation;
+    /// 0 to give the memory back.
+    double tokens = 0;
+    /// Time from its arrival after which the endpoint takes the memory back.
+    msec hold = 0;
+    /// Id and address of the endpoint.
+    std::string endpoint;
+    std::string address;
+};
+
+enum class order_answer
+{
+    done,
+    /// The endpoint states that it hasn't done it.
+    refused,
+    /// It may have been done, or may yet be.
+    unclear
+};
+
+constexpr std::size_t order_answer_count =
+    static_cast<std::size_t>(order_answer::unclear) + 1;
+
 struct directory_query
 {
     std::string host;
@@ -82,6 +109,10 @@
     virtual answer_facts read_answer(int status,
                                      const header_list& headers) const = 0;
 
+    /// The whole request that gives the order to its endpoint.
+    virtual std::string order_text(const memory_order& order) const = 0;
+    virtual order_answer read_order_answer(int status) const = 0;
+
     /// The status of an answer of the system's own.
     virtual int status_of(error_kind kind) const = 0;
 
--- /dev/null
+++ b/tests/gateway/gateway_memory_test.cpp
@@ -0,0 +1,118 @@
+#include "gateway/one_gateway.hpp"
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+namespace
+{
+
+constexpr std::uint64_t engine_tokens = 1000;
+/// A prompt of 1,500 tokens, which one engine can't hold.
+const std::string large = "Galenapulley-Token-Usage: 1500,20\r\n";
+/// Longest time that an endpoint may still work after its client has left.
+constexpr msec release_limit = 500;
+
+struct two_engines : one_gateway
+{
+    two_engines() : one_gateway(sample_configuration(1, "", engine_tokens)) {}
+
+    std::uint64_t reserved() const
+    {
+        return east.reserved_tokens() + west.reserved_tokens();
+    }
+
+    std::size_t orders(const std::string& operation) const
+    {
+        return east.orders(operation) + west.orders(operation);
+    }
+
+    const endpoint_standin& runner() const
+    {
+        return east.received().empty() ? west : east;
+    }
+
+    const endpoint_standin& holder() const
+    {
+        return east.received().empty() ? east : west;
+    }
+
+    wire_answer call(const std::string& attempt)
+    {
+        return gateway->call(
+            sample_request("POST", "/s/x", attempt, "", large));
+    }
+};
+
+} // namespace
+
+// Guards against memory that stays set aside after its request has ended.
+BOOST_FIXTURE_TEST_CASE(memory_is_set_aside_used_and_given_back, two_engines)
+{
+    set_both({.events = 3});
+    const auto answer = call("t1");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.complete);
+    BOOST_TEST_REQUIRE(orders("reserve") == 1U);
+    const auto order = holder().orders().front();
+    BOOST_TEST(order.operation == "reserve");
+    BOOST_TEST(order.tokens <= engine_tokens);
+    BOOST_TEST(1500 - order.tokens + 20 <= engine_tokens);
+    BOOST_TEST(runner().received().front().header("Galenapulley-Helpers") ==
+               holder().address() + '/' + order.reservation);
+    BOOST_TEST(eventually([this] { return reserved() == 0; }, release_limit));
+    BOOST_TEST(orders("release") == 1U);
+}
+
+// Guards against a stream that is cut off because its memory has lapsed.
+BOOST_FIXTURE_TEST_CASE(memory_is_renewed_while_its_request_runs, two_engines)
+{
+    set_both({.events = 3, .event_pause = 800});
+    const auto answer = call("t1");
+    BOOST_TEST(answer.complete);
+    const auto all = holder().orders();
+    BOOST_TEST(orders("reserve") >= 2U);
+    for (const auto& it : all)
+    {
+        BOOST_TEST(it.reservation == all.front().reservation);
+        BOOST_TEST((it.operation == "release" || it.hold < 4000));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(memory_is_given_back_when_the_client_leaves,
+                        two_engines)
+{
+    set_both({.silent = true});
+    wire_client client(gateway->traffic());
+    client.send(sample_request("POST", "/s/x", "t1", "", large));
+    BOOST_TEST_REQUIRE(eventually([&] { return arrivals() == 1; }));
+    BOOST_TEST(reserved() > 0U);
+    client.close();
+    BOOST_TEST(eventually([this] { return reserved() == 0; }, release_limit));
+}
+
+// Guards against a request that is sent without its memory: the engine would
+// push others out of theirs.
+BOOST_FIXTURE_TEST_CASE(without_memory_nothing_is_sent, two_engines)
+{
+    set_both({.events = 3, .refuses_memory = true});
+    const auto answer = call("t1");
+    BOOST_TEST((answer.status == 429 || answer.status == 503));
+    BOOST_TEST(arrivals() == 0U);
+}
+
+// Guards against memory that an order sets aside after nobody needs it: an
+// order without an answer may be carried out seconds later.
+BOOST_FIXTURE_TEST_CASE(an_order_without_answer_is_taken_back_repeatedly,
+                        two_engines)
+{
+    set_both({.events = 3, .silent_to_orders = true});
+    const auto answer = call("t1");
+    BOOST_TEST((answer.status == 429 || answer.status == 503));
+    BOOST_TEST(arrivals() == 0U);
+    BOOST_TEST(eventually([this] { return orders("release") >= 3; }, 6000));
+    set_both({});
+    const auto before = orders("release");
+    BOOST_TEST(
+        eventually([&] { return orders("release") > before + 1; }, 6000));
+    BOOST_TEST(reserved() == 0U);
+}
--- a/tests/gateway/one_gateway.hpp
+++ b/tests/gateway/one_gateway.hpp
@@ -15,9 +15,10 @@
     endpoint_standin west{store, "i-west", "svc", "west", {}};
     std::unique_ptr<gateway_process> gateway;
 
-    one_gateway()
+    explicit one_gateway(
+        const std::string& configuration = sample_configuration(1))
     {
-        store.put("op", "config", sample_configuration(1));
+        store.put("op", "config", configuration);
         gateway = std::make_unique<gateway_process>(
             "n1", "east", store.address(), std::vector<std::string>{});
         BOOST_TEST_REQUIRE(gateway->wait_until_ready());
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -78,6 +79,60 @@
                              [&] { return closed_ >= n; });
 }
 
+std::vector<received_order> endpoint_standin::orders() const
+{
+    const std::lock_guard lock(mutex_);
+    return orders_;
+}
+
+std::size_t endpoint_standin::orders(const std::string& operation) const
+{
+    const auto all = orders();
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(),
+        [&](const received_order& it) { return it.operation == operation; }));
+}
+
+std::uint64_t endpoint_standin::reserved_tokens() const
+{
+    const std::lock_guard lock(mutex_);
+    std::uint64_t sum = 0;
+    for (const auto& [id, it] : reservations_)
+        sum += it.until > time_.now() ? it.tokens : 0;
+    return sum;
+}
+
+bool endpoint_standin::serve_order(wire_socket& socket,
+                                   const wire_request& request,
+                                   const endpoint_behaviour& how)
+{
+    const auto body = nlohmann::json::parse(request.body());
+    const received_order order{.operation = body.at("Op"),
+                               .reservation = body.at("Id"),
+                               .tokens = body.value("Tokens", std::uint64_t{0}),
+                               .hold = body.value("HoldMs", msec{0})};
+    {
+        const std::lock_guard lock(mutex_);
+        orders_.push_back(order);
+    }
+    if (how.silent_to_orders)
+    {
+        wait_for_close(socket);
+        return false;
+    }
+    if (order.operation == "reserve" && how.refuses_memory)
+        return write_json(socket, 409, R"({"Free":0})");
+    {
+        const std::lock_guard lock(mutex_);
+        if (order.operation == "reserve")
+            reservations_[order.reservation] = {
+                .tokens = order.tokens, .until = time_.now() + order.hold};
+        else
+            reservations_.erase(order.reservation);
+    }
+    return write_json(socket, 200, R"({"Free":1000})");
+}
+
 std::string endpoint_standin::head(const wire_request& request,
                                    int status) const
 {
@@ -93,6 +148,11 @@
     {
         const std::lock_guard lock(mutex_);
         how = behaviour_;
+    }
+    if (request.target() == "/galenapulley/order")
+        return serve_order(socket, request, how);
+    {
+        const std::lock_guard lock(mutex_);
         received_request item{.method = std::string(request.method_string()),
                               .target = std::string(request.target()),
                               .body = request.body(),
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -33,6 +33,19 @@
     std::uint64_t breaks_in = 0;
     msec event_pause = 0;
     std::string body = "content";
+    /// Has no memory to set aside.
+    bool refuses_memory = false;
+    /// Takes orders and says nothing.
+    bool silent_to_orders = false;
+};
+
+/// An order about memory that an endpoint received.
+struct received_order
+{
+    std::string operation;
+    std::string reservation;
+    std::uint64_t tokens = 0;
+    msec hold = 0;
 };
 
 /// What an endpoint received.
@@ -59,14 +72,27 @@
     /// Its entry lapses.
     void lapse();
     const std::string& id() const { return id_; }
+    const std::string& address() const { return server_.address(); }
 
     std::vector<received_request> received() const;
     std::size_t runs() const;
+    std::vector<received_order> orders() const;
+    std::size_t orders(const std::string& operation) const;
+    /// Tokens that are set aside now.
+    std::uint64_t reserved_tokens() const;
     /// Waits until so many requests were seen to lose their connection.
     bool wait_for_closed(std::size_t n, msec limit);
 
 private:
+    struct reservation
+    {
+        std::uint64_t tokens = 0;
+        msec until = 0;
+    };
+
     bool serve(wire_socket& socket, const wire_request& request);
+    bool serve_order(wire_socket& socket, const wire_request& request,
+                     const endpoint_behaviour& how);
     bool stream(wire_socket& socket, const wire_request& request,
                 const endpoint_behaviour& how);
     std::string head(const wire_request& request, int status) const;
@@ -81,6 +107,9 @@
     std::condition_variable changed_;
     endpoint_behaviour behaviour_;
     std::vector<received_request> received_;
+    std::vector<received_order> orders_;
+    std::map<std::string, reservation> reservations_;
+    steady_clock time_;
     std::size_t closed_ = 0;
     wire_server server_;
 };
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -29,6 +29,7 @@
                                 .memory_tokens = 400'000,
                                 .step_ms = 1.3,
                                 .read_tokens_per_ms = 154,
+                                .pairs_ms_per_million = 0.16,
                                 .steps_per_pass = 34};
     return std::make_shared<routing_table>(
         1, std::vector{way},
@@ -49,17 +50,19 @@
     std::shared_ptr<const routing_table> table = sample_table();
     std::uint64_t next = 0;
 
-    explicit one_endpoint(msec cold_left)
+    explicit one_endpoint(msec cold_left, int endpoints = 1)
     {
         target.set_announce([](const wire::work_update&) {});
         target.set_strike_announce([](const strike&) {});
-        target.set_endpoints({{.id = "e1",
-                               .service = "svc",
-                               .address = "10.0.0.1:80",
-                               .failure_domain = "east",
-                               .slots = 100,
-                               .cold_left = cold_left}},
-                             true);
+        std::vector<endpoint> all;
+        for (int n = 1; n <= endpoints; ++n)
+            all.push_back({.id = "e" + std::to_string(n),
+                           .service = "svc",
+                           .address = "10.0.0." + std::to_string(n) + ":80",
+                           .failure_domain = "east",
+                           .slots = 100,
+                           .cold_left = cold_left});
+        target.set_endpoints(all, true);
     }
 
     std::optional<dispatch_answer> ask(double prompt_tokens)
@@ -99,6 +102,52 @@
     BOOST_TEST(std::holds_alternative<dispatch_grant>(*fits));
 }
 
+// Guards against the loss of the largest prompts: several engines hold them,
+// each with memory that is set aside.
+BOOST_AUTO_TEST_CASE(a_prompt_above_one_engines_memory_is_granted_with_holders)
+{
+    one_endpoint fleet(0, 4);
+    const auto answer = fleet.ask(500'000);
+    BOOST_TEST_REQUIRE(answer.has_value());
+    const auto* const grant = std::get_if<dispatch_grant>(&*answer);
+    BOOST_TEST_REQUIRE(grant != nullptr);
+    BOOST_TEST(grant->shares_memory);
+    double held = 0;
+    for (const auto& it : grant->helpers)
+        held += it.held_tokens;
+    BOOST_TEST(held >= 100'000);
+    BOOST_TEST(held <= 500'000);
+    const auto smaller = fleet.ask(200'000);
+    BOOST_TEST(!std::get<dispatch_grant>(*smaller).shares_memory);
+}
+
+// Guards against engines that read for seconds for a client who has left
+// before they can be done.
+BOOST_AUTO_TEST_CASE(a_prompt_that_cant_be_read_in_time_is_refused_at_once)
+{
+    one_endpoint fleet(0, 16);
+    const auto answer = fleet.ask(3'000'000);
+    BOOST_TEST_REQUIRE(answer.has_value());
+    BOOST_TEST(std::holds_alternative<dispatch_refusal>(*answer));
+    BOOST_TEST(fleet.target.waiting() == 0U);
+}
+
+// Guards against blame for an engine whose helper has failed.
+BOOST_AUTO_TEST_CASE(a_helper_at_fault_is_avoided_and_not_its_runner)
+{
+    one_endpoint fleet(0, 2);
+    const auto answer = fleet.ask(420'000);
+    BOOST_TEST_REQUIRE(answer.has_value());
+    const auto& grant = std::get<dispatch_grant>(*answer);
+    BOOST_TEST_REQUIRE(grant.helpers.size() == 1U);
+    fleet.target.on_finished(fleet.next, call_outcome::not_run,
+                             grant.helpers.front().key);
+    const auto usable =
+        fleet.target.endpoints().usable("svc", fleet.time.now());
+    BOOST_TEST_REQUIRE(usable.size() == 1U);
+    BOOST_TEST(usable.front()->description.id == grant.runner.id);
+}
+
 // Load: a burst of short prompts onto an endpoint that has just started. A cold
 // endpoint crashes well above its rate.
 BOOST_AUTO_TEST_CASE(a_cold_endpoint_gets_no_more_than_its_rate)
--- a/tests/unit/fleet_load_test.cpp
+++ b/tests/unit/fleet_load_test.cpp
@@ -37,6 +37,23 @@
     BOOST_TEST(load.load_of(8, 1000).helping == 1U);
 }
 
+// Guards against memory at a holder that is given out twice: it is held until
+// the request ends, also after the read.
+BOOST_AUTO_TEST_CASE(shared_memory_counts_at_each_holder)
+{
+    fleet_load load;
+    auto item = work(1, "n1", {7, 8, 9}, 400);
+    item.held_tokens = {300, 500, 300};
+    load.add(item, 1000);
+    BOOST_TEST(load.load_of(7, 1000).memory_tokens == 300);
+    BOOST_TEST(load.load_of(8, 1000).memory_tokens == 500);
+    load.on_first_event(1, 1200);
+    BOOST_TEST(load.load_of(8, 1200).memory_tokens == 500);
+    BOOST_TEST(load.load_of(7, 1200).context_tokens == 500);
+    load.remove(1, 1300);
+    BOOST_TEST(load.load_of(8, 1300).memory_tokens == 0);
+}
+
 // Guards against a backlog that stays after its read is done: endpoints would
 // look busy and requests would wait for nothing.
 BOOST_AUTO_TEST_CASE(a_first_event_ends_the_read)
--- a/tests/unit/platform_format_test.cpp
+++ b/tests/unit/platform_format_test.cpp
@@ -131,3 +131,37 @@
     BOOST_TEST(format.is_ready_check("/galenapulley/ready"));
     BOOST_TEST(!format.is_ready_check("/galenapulley/readyx"));
 }
+
+// Guards against memory that is set aside under a wrong name or at another
+// incarnation, where nobody would give it back.
+BOOST_AUTO_TEST_CASE(orders_about_memory_name_endpoint_and_reservation)
+{
+    const platform_format format;
+    memory_order order{.reservation = "r1",
+                       .tokens = 1200.4,
+                       .hold = 3000,
+                       .endpoint = "i-1",
+                       .address = "10.0.0.1:80"};
+    const auto taken = format.order_text(order);
+    BOOST_TEST(taken.find("POST /galenapulley/order HTTP/1.1\r\n") == 0U);
+    BOOST_TEST(taken.find("Galenapulley-Expect-Instance: i-1\r\n") !=
+               std::string::npos);
+    BOOST_TEST(taken.find(R"("Op":"reserve")") != std::string::npos);
+    BOOST_TEST(taken.find(R"("Tokens":1201)") != std::string::npos);
+    BOOST_TEST(taken.find(R"("HoldMs":3000)") != std::string::npos);
+    order.tokens = 0;
+    const auto given = format.order_text(order);
+    BOOST_TEST(given.find(R"({"Id":"r1","Op":"release"})") !=
+               std::string::npos);
+}
+
+// Guards against "refused" for an order that may yet be carried out.
+BOOST_AUTO_TEST_CASE(only_clear_answers_to_orders_are_refusals)
+{
+    const platform_format format;
+    BOOST_TEST((format.read_order_answer(200) == order_answer::done));
+    BOOST_TEST((format.read_order_answer(409) == order_answer::refused));
+    BOOST_TEST((format.read_order_answer(421) == order_answer::refused));
+    BOOST_TEST((format.read_order_answer(500) == order_answer::unclear));
+    BOOST_TEST((format.read_order_answer(503) == order_answer::unclear));
+}
--- a/tests/unit/prompt_placement_test.cpp
+++ b/tests/unit/prompt_placement_test.cpp
@@ -110,6 +110,47 @@
     BOOST_TEST(choice->chosen.front() == 1U);
 }
 
+// Load: a prompt that no engine can hold alone. Refused for good, its client
+// would lose the answer however often it came back.
+BOOST_AUTO_TEST_CASE(a_prompt_above_one_engines_memory_is_held_by_several)
+{
+    std::vector<placement_candidate> fleet(14, idle());
+    for (std::size_t n = 0; n < 4; ++n)
+        fleet[n].load.memory_tokens = 100'000.0 * static_cast<double>(n);
+    auto request = long_prompt();
+    request.prompt_tokens = 700'000;
+    BOOST_TEST(!place_prompt(engine(), request, fleet).has_value());
+    request.may_share_memory = true;
+    const auto choice = place_prompt(engine(), request, fleet);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST_REQUIRE(choice->held_tokens.size() == choice->chosen.size());
+    double held = 0;
+    for (std::size_t n = 0; n < choice->chosen.size(); ++n)
+    {
+        held += choice->held_tokens[n];
+        BOOST_TEST(choice->held_tokens[n] +
+                       fleet[choice->chosen[n]].load.memory_tokens <=
+                   405'000);
+    }
+    BOOST_TEST(held == 700'650, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(choice->held_tokens.front() >= request.output_tokens);
+}
+
+// Load: the same while all engines are nearly full of other prompts. Placed
+// there it would be refused by the engines, or push others out of memory.
+BOOST_AUTO_TEST_CASE(memory_that_others_use_is_not_shared)
+{
+    std::vector<placement_candidate> fleet(3, idle());
+    for (auto& it : fleet)
+        it.load.memory_tokens = 200'000;
+    auto request = long_prompt();
+    request.may_share_memory = true;
+    request.prompt_tokens = 500'000;
+    BOOST_TEST(place_prompt(engine(), request, fleet).has_value());
+    request.prompt_tokens = 620'000;
+    BOOST_TEST(!place_prompt(engine(), request, fleet).has_value());
+}
+
 // Load: a burst of short prompts fills the fleet; a long read still finds a
 // place, where it disturbs the fewest.
 BOOST_AUTO_TEST_CASE(a_long_read_takes_the_engine_with_the_fewest_writers)
