--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -36,6 +36,9 @@
 /// Loss of one more endpoint that holds memory, for the orders it takes.
 constexpr double holder_weight = 0.06;
 
+/// Others' loss, as a part of a request's worth, for which it never waits.
+constexpr double idle_share = 0.05;
+
 /// 0 while `time` is well within `limit`, 1 beyond it.
 double lateness(double time, double limit)
 {
@@ -95,9 +98,18 @@
             if (it && (!found || it->loss < found->loss))
                 found = std::move(it);
         }
+        if (found && request_.max_parts > 1 && should_wait(*found))
+            return std::nullopt;
         return found;
     }
 
+    /// Whether others lose more than the request gains.
+    bool should_wait(const placement_choice& it) const
+    {
+        const double gain = request_.value - own_loss(it.first_event_ms);
+        return it.others_loss > std::max(gain, idle_share * request_.value);
+    }
+
 private:
     bool can_run(const placement_candidate& it) const
     {
@@ -262,7 +274,9 @@
     {
         const auto& first = candidates_[out.chosen.front()];
         out.first_event_ms = first_event_ms(first, ahead, out.part_ms);
-        out.loss = disturbed - packing(first) + own_loss(out.first_event_ms) +
+        out.others_loss = disturbed;
+        out.loss = out.others_loss - packing(first) +
+                   own_loss(out.first_event_ms) +
                    part_weight * static_cast<double>(out.chosen.size() - 1) +
                    (first.same_domain ? 0 : cross_domain_weight);
     }
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -52,6 +52,8 @@
     double first_event_ms = 0;
     /// Expected loss of worth, of this request and of the ones it disturbs.
     double loss = 0;
+    /// The part of it that others lose.
+    double others_loss = 0;
 };
 
 /// Chooses the engines for a prompt. It answers a load in which bursts of
@@ -60,7 +62,8 @@
 /// engines on which it delays few writers, and short prompts are packed on few
 /// engines, which leaves the others to the long reads. A prompt above one
 /// engine's memory is shared evenly by those that read it. Empty if no
-/// candidate has a free slot and enough memory.
+/// candidate has a free slot and enough memory, or if a long read would cost
+/// others more than it gains and should wait.
 std::optional<placement_choice>
 place_prompt(const engine_profile& engine, const placement_request& request,
              std::span<const placement_candidate> candidates);
--- a/tests/unit/prompt_placement_test.cpp
+++ b/tests/unit/prompt_placement_test.cpp
@@ -110,6 +110,31 @@
     BOOST_TEST(choice->chosen.front() == 1U);
 }
 
+// Load: a burst of long prompts beyond what the engines can read while all of
+// them write. Placed at once, each read would stop all writers for seconds:
+// their clients leave and the long prompts' own answers are lost as well.
+BOOST_AUTO_TEST_CASE(a_long_read_waits_while_others_would_lose_more)
+{
+    std::vector<placement_candidate> fleet(4, with_writers(14));
+    BOOST_TEST(!place_prompt(engine(), long_prompt(), fleet).has_value());
+    BOOST_TEST(place_prompt(engine(), short_prompt(), fleet).has_value());
+    fleet[2] = with_writers(0);
+    const auto choice = place_prompt(engine(), long_prompt(), fleet);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->chosen.front() == 2U);
+}
+
+// Guards against a prompt that waits for ever because it will be late itself:
+// nobody else loses by its read.
+BOOST_AUTO_TEST_CASE(a_late_read_that_disturbs_nobody_does_not_wait)
+{
+    auto request = long_prompt();
+    request.prompt_tokens = 400'000;
+    request.waited_ms = 9000;
+    const std::vector<placement_candidate> fleet(2, idle());
+    BOOST_TEST(place_prompt(engine(), request, fleet).has_value());
+}
+
 // Load: a prompt that no engine can hold alone. Refused for good, its client
 // would lose the answer however often it came back.
 BOOST_AUTO_TEST_CASE(a_prompt_above_one_engines_memory_is_held_by_several)
