Few nodes of a failure domain follow the endpoints and relay them

Change: watch_duty lets the two first nodes of each failure domain, ordered by a hash of the name, relay; they beat every 300 ms, and a node that hears none for 900 ms watches by itself. Gossip compares the newest change of a table instead of the store's counter, so copies with equal rows are no longer pulled. Tests: a node goes on alone within the drain time when all relays freeze.

--- a/src/galenapulley/cluster_rows.cpp
+++ b/src/galenapulley/cluster_rows.cpp
@@ -12,12 +12,20 @@
         return false;
     rows_.clear();
     for (auto& it : rows)
+    {
+        set_changed(it.version);
         if (!it.deleted)
             rows_.insert_or_assign(it.key, std::move(it));
+    }
     version_ = version;
     return true;
 }
 
+void cluster_rows::set_changed(std::uint64_t changed)
+{
+    changed_ = std::max(changed_, changed);
+}
+
 bool cluster_rows::apply(const std::vector<cluster_row>& changes,
                          std::uint64_t after, std::uint64_t version)
 {
@@ -25,6 +33,7 @@
         return false;
     for (const auto& it : changes)
     {
+        set_changed(it.version);
         const auto known = rows_.find(it.key);
         if (it.version <= version_ ||
             (known != rows_.end() && known->second.version >= it.version))
--- /dev/null
+++ b/src/galenapulley/watch_duty.cpp
@@ -0,0 +1,51 @@
+#include "galenapulley/watch_duty.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+/// All nodes order the nodes of a domain alike.
+std::uint64_t rank_of(const std::string& node)
+{
+    return XXH64(node.data(), node.size(), 0);
+}
+
+} // namespace
+
+watch_duty::watch_duty(std::string node) : node_(std::move(node)) {}
+
+void watch_duty::set_domain_nodes(const std::vector<std::string>& nodes)
+{
+    const auto own = rank_of(node_);
+    const auto before = std::count_if(nodes.begin(), nodes.end(),
+                                      [own](const std::string& it)
+                                      { return rank_of(it) < own; });
+    is_relay_ = static_cast<std::size_t>(before) < relays_per_domain;
+    std::erase_if(heard_at_,
+                  [&nodes](const auto& it) {
+                      return std::find(nodes.begin(), nodes.end(), it.first) ==
+                             nodes.end();
+                  });
+}
+
+void watch_duty::on_beat(const std::string& node, msec now)
+{
+    heard_at_[node] = now;
+}
+
+bool watch_duty::must_watch(msec now) const
+{
+    return is_relay_ || std::none_of(heard_at_.begin(), heard_at_.end(),
+                                     [now](const auto& it) {
+                                         return now - it.second < beat_silence;
+                                     });
+}
+
+} // namespace galenapulley
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -19,6 +19,10 @@
     return static_cast<std::size_t>(table);
 }
 
+/// Rows about endpoints are small and change often. A configuration may be
+/// large: sent to a whole failure domain it would fill a node's link.
+constexpr cluster_table relayed_table = cluster_table::endpoints;
+
 std::string joined(const std::set<std::string>& names)
 {
     std::string out;
@@ -29,15 +33,16 @@
 
 } // namespace
 
-cluster_view::cluster_view(control_loop& loop, row_store& store,
-                           const row_codec& codec, peer_link& link,
-                           event_log& log, callbacks on_change)
+cluster_view::cluster_view(std::string node, control_loop& loop,
+                           row_store& store, const row_codec& codec,
+                           peer_link& link, event_log& log, callbacks on_change)
     : loop_(loop)
     , store_(store)
     , codec_(codec)
     , link_(link)
     , log_(log)
     , on_change_(std::move(on_change))
+    , duty_(std::move(node))
 {
 }
 
@@ -46,6 +51,91 @@
     reached_since_ = loop_.now();
     ask_store(cluster_table::operations);
     ask_store(cluster_table::endpoints);
+    loop_.call_every(watch_duty::beat_period, [this] { follow(); });
+}
+
+void cluster_view::set_domain_nodes(std::map<std::string, std::string> nodes)
+{
+    if (nodes == domain_nodes_)
+        return;
+    domain_nodes_ = std::move(nodes);
+    std::vector<std::string> names;
+    for (const auto& [node, address] : domain_nodes_)
+        names.push_back(node);
+    duty_.set_domain_nodes(names);
+}
+
+void cluster_view::follow()
+{
+    if (duty_.is_relay() && store_reached())
+        send_relay(make_beat());
+    if (state(relayed_table).relies_on_relays && duty_.must_watch(loop_.now()))
+        ask_store(relayed_table);
+}
+
+wire::rows_relay cluster_view::make_beat() const
+{
+    wire::rows_relay message;
+    message.set_newest(state(relayed_table).rows.changed());
+    message.set_dependable(dependable());
+    return message;
+}
+
+void cluster_view::send_relay(const wire::rows_relay& message)
+{
+    for (const auto& [node, address] : domain_nodes_)
+    {
+        wire::peer_message out;
+        *out.mutable_rows_relay() = message;
+        link_.send(address, std::move(out));
+    }
+}
+
+void cluster_view::relay_changes(std::uint64_t after, const row_batch& batch)
+{
+    auto message = make_beat();
+    message.set_after(after);
+    message.set_version(batch.version);
+    auto changed = after;
+    for (const auto& it : batch.rows)
+    {
+        changed = std::max(changed, it.version);
+        auto& entry = *message.add_rows();
+        entry.set_key(it.key);
+        entry.set_value(it.value);
+        entry.set_version(it.version);
+        entry.set_deleted(it.deleted);
+    }
+    message.set_newest(changed);
+    send_relay(message);
+}
+
+void cluster_view::on_relay(const std::string& node,
+                            const wire::rows_relay& message)
+{
+    const auto sender = domain_nodes_.find(node);
+    if (sender == domain_nodes_.end())
+        return;
+    duty_.on_beat(node, loop_.now());
+    auto& it = state(relayed_table);
+    if (message.version() > 0)
+    {
+        row_batch batch{.version = message.version()};
+        for (const auto& entry : message.rows())
+            batch.rows.push_back({.key = entry.key(),
+                                  .value = entry.value(),
+                                  .version = entry.version(),
+                                  .deleted = entry.deleted()});
+        const auto before = it.rows.changed();
+        if (it.rows.apply(batch.rows, message.after(), batch.version) &&
+            it.rows.changed() > before)
+            publish(relayed_table, message.dependable());
+    }
+    if (!it.relies_on_relays)
+        return;
+    it.answered_at = loop_.now();
+    if (message.newest() > it.rows.changed())
+        pull(index_of(relayed_table), sender->second);
 }
 
 cluster_view::table_state& cluster_view::state(cluster_table table)
@@ -83,6 +173,13 @@
                     { take_answer(table, 0, std::move(answer)); });
         return;
     }
+    if (table == relayed_table && it.failures == 0 &&
+        !duty_.must_watch(loop_.now()))
+    {
+        it.relies_on_relays = true;
+        return;
+    }
+    it.relies_on_relays = false;
     const auto after = it.rows.version();
     // After a failure a short call tells that the store is back; a long one
     // would tell so only with the next change.
@@ -106,6 +203,10 @@
     }
     on_store_answer(table);
     const bool lost = answer->history_lost;
+    const auto changed = it.rows.changed();
+    if (table == relayed_table && !lost && after > 0 && !answer->rows.empty() &&
+        duty_.is_relay())
+        relay_changes(changed, *answer);
     const bool current = !lost && apply(table, after, *std::move(answer));
     it.needs_read = !current;
     // A read may be older than what is known; the next one follows soon.
@@ -122,7 +223,7 @@
         whole ? it.rows.replace(std::move(batch.rows), batch.version)
               : it.rows.apply(batch.rows, after, batch.version);
     if (current && (whole || !batch.rows.empty()))
-        publish(table);
+        publish(table, dependable());
     return current;
 }
 
@@ -156,7 +257,26 @@
 void cluster_view::describe(wire::gossip& message) const
 {
     for (const auto& it : tables_)
-        message.add_table_versions(it.rows.version());
+        message.add_table_versions(it.rows.changed());
+}
+
+void cluster_view::pull(std::size_t table, const std::string& peer_address)
+{
+    auto& it = tables_[table];
+    if (loop_.now() - it.pulled_at < pull_interval)
+        return;
+    it.pulled_at = loop_.now();
+    wire::peer_message message;
+    message.mutable_rows_pull()->set_table(static_cast<std::uint32_t>(table));
+    message.mutable_rows_pull()->set_version(it.rows.changed());
+    link_.send(peer_address, std::move(message));
+}
+
+void cluster_view::pull_if_behind(std::size_t table, std::uint64_t changed,
+                                  const std::string& peer_address)
+{
+    if (tables_[table].rows.changed() < changed)
+        pull(table, peer_address);
 }
 
 void cluster_view::on_gossip(const std::string& peer_address,
@@ -169,22 +289,24 @@
     for (std::size_t n = 0; n < known; ++n)
     {
         auto& it = tables_[n];
-        if (message.table_versions(static_cast<int>(n)) <= it.rows.version())
+        const auto changed = message.table_versions(static_cast<int>(n));
+        if (changed <= it.rows.changed())
         {
             it.behind_since = 0;
             continue;
         }
+        if (it.relies_on_relays)
+        {
+            loop_.call_after(lag_behind_relay, [this, n, changed, peer_address]
+                             { pull_if_behind(n, changed, peer_address); });
+            continue;
+        }
         if (it.behind_since == 0)
             it.behind_since = now;
         const bool waits = store_reached() && it.rows.version() > 0 &&
                            now - it.behind_since < lag_before_pull;
-        if (waits || now - it.pulled_at < pull_interval)
-            continue;
-        it.pulled_at = now;
-        wire::peer_message pull;
-        pull.mutable_rows_pull()->set_table(static_cast<std::uint32_t>(n));
-        pull.mutable_rows_pull()->set_version(it.rows.version());
-        link_.send(peer_address, std::move(pull));
+        if (!waits)
+            pull(n, peer_address);
     }
 }
 
@@ -194,12 +316,13 @@
     if (message.table() >= tables_.size())
         return;
     const auto& it = tables_[message.table()];
-    if (it.rows.version() <= message.version())
+    if (it.rows.changed() <= message.version())
         return;
     wire::peer_message answer;
     auto& push = *answer.mutable_rows_push();
     push.set_table(message.table());
     push.set_version(it.rows.version());
+    push.set_changed(it.rows.changed());
     push.set_dependable(dependable());
     for (const auto& [key, row] : it.rows.rows())
     {
@@ -216,6 +339,9 @@
     if (message.table() >= tables_.size())
         return;
     auto& it = tables_[message.table()];
+    if (message.changed() <= it.rows.changed())
+        return;
+    it.rows.set_changed(message.changed());
     if (message.version() <= it.rows.version())
         return;
     std::vector<cluster_row> rows;
@@ -225,17 +351,13 @@
                         .version = entry.version()});
     if (!it.rows.replace(std::move(rows), message.version()))
         return;
-    const auto table = static_cast<cluster_table>(message.table());
-    if (table == cluster_table::endpoints)
-        publish_endpoints(message.dependable());
-    else
-        publish_operations();
+    publish(static_cast<cluster_table>(message.table()), message.dependable());
 }
 
-void cluster_view::publish(cluster_table table)
+void cluster_view::publish(cluster_table table, bool dependable)
 {
     if (table == cluster_table::endpoints)
-        publish_endpoints(dependable());
+        publish_endpoints(dependable);
     else
         publish_operations();
 }
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -5,11 +5,13 @@
 #include "galenapulley/endpoint.hpp"
 #include "galenapulley/peer_link.hpp"
 #include "galenapulley/routing_table.hpp"
+#include "galenapulley/watch_duty.hpp"
 #include "gateway/row_store.hpp"
 
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -26,10 +28,12 @@
 class gossip;
 class rows_pull;
 class rows_push;
+class rows_relay;
 } // namespace wire
 
-/// Follows the store's tables, directly and through peers that are ahead, and
-/// tells what they hold. Used on the control thread.
+/// Follows the store's tables, directly or through nodes that relay them, and
+/// through peers that are ahead, and tells what they hold. Used on the control
+/// thread.
 class cluster_view
 {
 public:
@@ -41,10 +45,13 @@
         std::function<void(std::vector<endpoint>, bool dependable)> endpoints;
     };
 
-    cluster_view(control_loop& loop, row_store& store, const row_codec& codec,
-                 peer_link& link, event_log& log, callbacks on_change);
+    cluster_view(std::string node, control_loop& loop, row_store& store,
+                 const row_codec& codec, peer_link& link, event_log& log,
+                 callbacks on_change);
 
     void start();
+    /// Peer addresses of the live nodes of the own failure domain, by name.
+    void set_domain_nodes(std::map<std::string, std::string> nodes);
 
     /// Adds this node's versions to a gossip message.
     void describe(wire::gossip& message) const;
@@ -54,14 +61,18 @@
     void on_pull(const std::string& peer_address,
                  const wire::rows_pull& message);
     void on_push(const wire::rows_push& message);
+    void on_relay(const std::string& node, const wire::rows_relay& message);
 
     /// The store answers, and has done so long enough for lapsed entries to
     /// be back.
     bool dependable() const;
     bool store_reached() const { return failures_ == 0; }
+    /// Whether this node relays the store to its failure domain.
+    bool is_relay() const { return duty_.is_relay(); }
     msec dependable_since() const { return reached_since_; }
     std::uint64_t version(cluster_table table) const;
-    /// Time since the last answer of the store about the table.
+    /// Time since the last answer of the store about the table, to this node
+    /// or to one that relays to it.
     msec age(cluster_table table) const;
 
     /// A watch that hears nothing is asked anew after this time.
@@ -72,6 +83,8 @@
     /// A peer that is ahead is asked after this time, unless this node's own
     /// watch brings the rows.
     static constexpr msec lag_before_pull = 600;
+    /// The same for a node that relies on relays.
+    static constexpr msec lag_behind_relay = 100;
     static constexpr msec pull_interval = 500;
 
 private:
@@ -84,17 +97,29 @@
         msec pulled_at = 0;
         std::uint32_t failures = 0;
         bool needs_read = true;
+        /// No call is under way; relays bring the changes.
+        bool relies_on_relays = false;
     };
 
     table_state& state(cluster_table table);
     const table_state& state(cluster_table table) const;
     void ask_store(cluster_table table);
+    /// Follows the store again if no relay is heard, and tells the others if
+    /// this node is one.
+    void follow();
+    void send_relay(const wire::rows_relay& message);
+    /// Sends what a watch of the relayed table has brought.
+    void relay_changes(std::uint64_t after, const row_batch& batch);
+    wire::rows_relay make_beat() const;
+    void pull(std::size_t table, const std::string& peer_address);
+    void pull_if_behind(std::size_t table, std::uint64_t changed,
+                        const std::string& peer_address);
     void take_answer(cluster_table table, std::uint64_t after,
                      absl::StatusOr<row_batch> answer);
     bool apply(cluster_table table, std::uint64_t after, row_batch batch);
     void on_store_failure(cluster_table table, const absl::Status& status);
     void on_store_answer(cluster_table table);
-    void publish(cluster_table table);
+    void publish(cluster_table table, bool dependable);
     void publish_operations();
     void publish_endpoints(bool dependable);
 
@@ -104,6 +129,8 @@
     peer_link& link_;
     event_log& log_;
     callbacks on_change_;
+    watch_duty duty_;
+    std::map<std::string, std::string> domain_nodes_;
     std::array<table_state, cluster_table_count> tables_;
     /// Failed calls in a row, over both tables.
     std::uint32_t failures_ = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,7 +70,7 @@
                    .cluster_retries = {.base = settings_.retry_base,
                                        .ratio = settings_.retry_ratio}},
                   clock_, log_)
-    , view_(loop_, *store_, *adapter_.codec, peers_, log_,
+    , view_(settings_.node, loop_, *store_, *adapter_.codec, peers_, log_,
             {.routing = [this](auto it) { set_routing(std::move(it)); },
              .withdrawn = [this](auto it)
              { dispatcher_.set_withdrawn(std::move(it)); },
@@ -261,8 +261,14 @@
 void gateway::follow_members()
 {
     std::map<std::string, std::int64_t> live;
+    std::map<std::string, std::string> domain_nodes;
     for (const auto* const it : members_.live_members(loop_.now()))
+    {
         live[it->node] = it->incarnation;
+        if (it->zone == settings_.failure_domain)
+            domain_nodes[it->node] = it->peer_address;
+    }
+    view_.set_domain_nodes(std::move(domain_nodes));
     for (const auto& [node, incarnation] : live_)
     {
         const auto it = live.find(node);
@@ -391,6 +397,9 @@
     case wire::peer_message::kRowsPush:
         view_.on_push(message.rows_push());
         return;
+    case wire::peer_message::kRowsRelay:
+        view_.on_relay(message.from(), message.rows_relay());
+        return;
     default:
         // Other messages belong to nodes with the project's own interface.
         return;
--- /dev/null
+++ b/tests/gateway/gateway_relay_test.cpp
@@ -0,0 +1,88 @@
+#include "platform/gateway_fixture.hpp"
+
+#include "galenapulley/watch_duty.hpp"
+#include "gateway/one_gateway.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+namespace
+{
+
+constexpr std::size_t node_count = 5;
+/// Time in which a node has to have left an endpoint that is leaving.
+constexpr msec drain_limit = 2000;
+
+struct one_domain : one_gateway
+{
+    std::vector<std::unique_ptr<gateway_process>> others;
+
+    one_domain()
+    {
+        for (std::size_t n = 2; n <= node_count; ++n)
+            others.push_back(std::make_unique<gateway_process>(
+                "n" + std::to_string(n), "east", store.address(),
+                std::vector{gateway->peer()}));
+        for (const auto& it : others)
+            BOOST_TEST_REQUIRE(it->wait_until_ready());
+    }
+
+    /// A change ends the watches of nodes that need no watch of their own.
+    bool is_relayed()
+    {
+        return eventually(
+            [this]
+            {
+                west.enter();
+                pause_for(100);
+                return store.watchers("servers") ==
+                       watch_duty::relays_per_domain;
+            });
+    }
+
+    static bool only_uses(const gateway_process& node,
+                          const endpoint_standin& used,
+                          const endpoint_standin& unused)
+    {
+        const auto before = unused.received().size();
+        for (int n = 0; n < 4; ++n)
+            if (node.call(sample_request("GET", "/i/x", "t")).status != 200)
+                return false;
+        return unused.received().size() == before && !used.received().empty();
+    }
+};
+
+} // namespace
+
+// Load: many nodes and endpoints that come and go; each change would cost a
+// call of every node.
+BOOST_FIXTURE_TEST_CASE(few_nodes_follow_the_endpoints_and_all_know_them,
+                        one_domain)
+{
+    BOOST_TEST_REQUIRE(is_relayed());
+    east.enter("draining");
+    pause_for(200);
+    BOOST_TEST(only_uses(*gateway, west, east));
+    for (const auto& it : others)
+        BOOST_TEST(only_uses(*it, west, east));
+    BOOST_TEST(store.watchers("servers") == watch_duty::relays_per_domain);
+}
+
+// Guards against a node that sends work to a leaving endpoint because the
+// nodes that should tell it are frozen.
+BOOST_FIXTURE_TEST_CASE(a_node_goes_on_alone_when_all_relays_are_silent,
+                        one_domain)
+{
+    BOOST_TEST_REQUIRE(is_relayed());
+    for (const auto& it : others)
+        it->process().signal(SIGSTOP);
+    east.enter("draining");
+    BOOST_TEST(eventually([this] { return only_uses(*gateway, west, east); },
+                          drain_limit));
+    for (const auto& it : others)
+        it->process().signal(SIGCONT);
+}
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -101,6 +101,13 @@
     return calls_;
 }
 
+std::size_t store_standin::watchers(const std::string& table) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = watchers_.find(table);
+    return it == watchers_.end() ? 0 : it->second;
+}
+
 bool store_standin::serve(wire_socket& socket, const wire_request& request)
 {
     const std::string target(request.target());
@@ -179,9 +186,11 @@
     {
         return stopping_ || mode_ != store_mode::well || after < history_from_;
     };
+    ++watchers_[query.at("Table")];
     changed_.wait_for(lock,
                       std::chrono::milliseconds(std::stoi(query.at("WaitMs"))),
                       [&] { return interrupted() || !changes().empty(); });
+    --watchers_[query.at("Table")];
     if (stopping_ || mode_ == store_mode::resetting)
         return {0, ""};
     if (mode_ == store_mode::refusing)
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -38,6 +38,8 @@
     void forget_history();
     void set_mode(store_mode mode);
     std::uint64_t calls() const;
+    /// Watches of a table that wait for a change now.
+    std::size_t watchers(const std::string& table) const;
 
 private:
     struct row
@@ -62,6 +64,7 @@
     std::uint64_t version_ = 100;
     std::uint64_t history_from_ = 0;
     std::uint64_t calls_ = 0;
+    std::map<std::string, std::size_t> watchers_;
     store_mode mode_ = store_mode::well;
     bool stopping_ = false;
     wire_server server_;
--- /dev/null
+++ b/tests/unit/watch_duty_test.cpp
@@ -0,0 +1,68 @@
+#include "galenapulley/watch_duty.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace galenapulley;
+
+namespace
+{
+
+std::vector<std::string> nodes(int n)
+{
+    std::vector<std::string> out;
+    for (int k = 0; k < n; ++k)
+        out.push_back("n" + std::to_string(k));
+    return out;
+}
+
+} // namespace
+
+// Load: a cluster of many nodes; each change of a table would cost as many
+// calls to the store.
+BOOST_AUTO_TEST_CASE(few_nodes_of_a_domain_follow_the_store)
+{
+    const auto all = nodes(40);
+    std::size_t relays = 0;
+    for (const auto& it : all)
+    {
+        auto others = all;
+        std::erase(others, it);
+        watch_duty duty(it);
+        duty.set_domain_nodes(others);
+        duty.on_beat("n7", 1000);
+        relays += duty.is_relay();
+        BOOST_TEST(duty.must_watch(1000) == duty.is_relay());
+    }
+    BOOST_TEST(relays == watch_duty::relays_per_domain);
+}
+
+// Guards against a node that acts on an old configuration because those that
+// should relay the new one are frozen or cut off from the store.
+BOOST_AUTO_TEST_CASE(a_node_that_hears_no_relay_follows_the_store)
+{
+    const auto all = nodes(40);
+    for (const auto& it : all)
+    {
+        watch_duty duty(it);
+        BOOST_TEST(duty.must_watch(0));
+        auto others = all;
+        std::erase(others, it);
+        duty.set_domain_nodes(others);
+        BOOST_TEST(duty.must_watch(0));
+        duty.on_beat(others.front(), 5000);
+        BOOST_TEST(duty.must_watch(5000 + watch_duty::beat_silence));
+    }
+}
+
+// Guards against beats of a node that is no longer a member.
+BOOST_AUTO_TEST_CASE(a_node_that_has_gone_is_not_relied_on)
+{
+    watch_duty duty("n20");
+    auto others = nodes(20);
+    duty.set_domain_nodes(others);
+    duty.on_beat("n3", 1000);
+    BOOST_TEST(duty.must_watch(1100) == duty.is_relay());
+    std::erase(others, "n3");
+    duty.set_domain_nodes(others);
+    BOOST_TEST(duty.must_watch(1100));
+}
