Placement: the last slots of an engine stay free, and chance breaks ties

Cause: short prompts were packed up to the last slot (median of running requests at placement: 11 of 12). Change: packing ends at 0.75 of the slots, slots above cost more and more; chance of its own for each request and endpoint decides within 0.03 of loss.

--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -29,7 +29,14 @@
 /// Gain of an engine that already runs others, relative to a full one, for
 /// short prompts.
 constexpr double packing_weight = 0.1;
+/// Part of an engine's slots up to which it is filled while others are free.
+constexpr double filled_share = 0.75;
+/// Loss of an engine's last slot: nodes that choose at the same moment don't
+/// know of each other, and the later one waits until a slot is free.
+constexpr double crowding_weight = 0.3;
 constexpr double cross_domain_weight = 0.001;
+/// Differences of loss within which chance decides.
+constexpr double chance_weight = 0.03;
 /// Part of an engine's memory that is not counted on when memory is set aside
 /// in advance: estimates of the outputs that are being written are often low.
 constexpr double spare_memory_share = 0.03;
@@ -161,12 +168,18 @@
         return loss;
     }
 
+    /// Preference for an engine by the slots that it has left.
     double packing(const placement_candidate& it) const
     {
+        const double slots = std::max(1U, it.slots);
+        const double fill = (it.load.running + 1) / slots;
+        if (fill > filled_share)
+            return -crowding_weight * (fill - filled_share) /
+                   (1 - filled_share);
         // Only prompts that are read within one short pass are packed.
         if (request_.gap_ms <= 0 || read_ms_ > request_.gap_ms / 2)
             return 0;
-        return packing_weight * it.load.running / std::max(1U, it.slots);
+        return packing_weight * it.load.running / slots;
     }
 
     std::vector<option> options(std::size_t parts) const
@@ -182,6 +195,7 @@
             out.push_back({.index = n,
                            .harm = disturbed,
                            .cost = disturbed + own - packing(it) +
+                                   chance_weight * it.chance +
                                    (it.same_domain ? 0 : cross_domain_weight),
                            .can_run = can_run(it)});
         }
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -38,6 +38,9 @@
     endpoint_load load{};
     std::uint32_t slots = 1;
     bool same_domain = false;
+    /// From 0 to 1, of its own for each request and endpoint: nodes that
+    /// choose at the same moment don't all choose alike.
+    double chance = 0;
 };
 
 struct placement_choice
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -3,7 +3,11 @@
 #include "gateway/event_log.hpp"
 #include "peer.pb.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
+#include <limits>
 #include <utility>
 
 namespace galenapulley
@@ -226,10 +230,15 @@
         if (!may_use(item, *it, load))
             continue;
         list.endpoints.push_back(it);
-        list.load.push_back({.load = std::move(load),
-                             .slots = it->description.slots,
-                             .same_domain = it->description.failure_domain ==
-                                            options_.failure_domain});
+        const std::array<std::uint64_t, 2> pair{item.id, it->key};
+        const auto chance = XXH64(pair.data(), sizeof(pair), 0);
+        list.load.push_back(
+            {.load = std::move(load),
+             .slots = it->description.slots,
+             .same_domain =
+                 it->description.failure_domain == options_.failure_domain,
+             .chance = static_cast<double>(chance) /
+                       std::numeric_limits<std::uint64_t>::max()});
     }
     return list;
 }
--- a/tests/unit/prompt_placement_test.cpp
+++ b/tests/unit/prompt_placement_test.cpp
@@ -110,6 +110,39 @@
     BOOST_TEST(choice->chosen.front() == 1U);
 }
 
+// Load: a burst of short prompts at many nodes. Those that choose at the same
+// moment don't know of each other: with one slot left, all but one wait at the
+// engine until another answer ends, which takes seconds.
+BOOST_AUTO_TEST_CASE(the_last_slots_are_left_free_while_others_are)
+{
+    const std::vector<placement_candidate> fleet{
+        with_writers(15), with_writers(10), with_writers(14)};
+    const auto choice = place_prompt(engine(), short_prompt(), fleet);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->chosen.front() == 1U);
+    const std::vector<placement_candidate> nearly_full{with_writers(15)};
+    BOOST_TEST(place_prompt(engine(), short_prompt(), nearly_full).has_value());
+}
+
+// The same load on engines that are equally good.
+BOOST_AUTO_TEST_CASE(chance_decides_between_equal_engines)
+{
+    std::vector<placement_candidate> fleet(3, with_writers(5));
+    for (std::size_t n = 0; n < fleet.size(); ++n)
+    {
+        for (auto& it : fleet)
+            it.chance = 0.9;
+        fleet[n].chance = 0.1;
+        const auto choice = place_prompt(engine(), short_prompt(), fleet);
+        BOOST_TEST_REQUIRE(choice.has_value());
+        BOOST_TEST(choice->chosen.front() == n);
+    }
+    fleet[1] = with_writers(15);
+    fleet[1].chance = 0;
+    const auto choice = place_prompt(engine(), short_prompt(), fleet);
+    BOOST_TEST(choice->chosen.front() != 1U);
+}
+
 // Load: a burst of long prompts beyond what the engines can read while all of
 // them write. Placed at once, each read would stop all writers for seconds:
 // their clients leave and the long prompts' own answers are lost as well.
