Retries: one budget that all nodes count together

Cause: each node had an equal part of the cluster's retries, 1 or 2 in ten seconds with 142 nodes. Change: announcements of placements carry whether they are retries; each node counts the requests and retries of all and takes from 0.7 of the whole. Nodes that are known but not heard keep their part.

--- a/src/galenapulley/retry_budget.cpp
+++ b/src/galenapulley/retry_budget.cpp
@@ -24,6 +24,11 @@
     ++current(now).requests;
 }
 
+void retry_budget::on_retry(msec now)
+{
+    ++current(now).retries;
+}
+
 bool retry_budget::has_budget(msec now) const
 {
     const auto oldest = now / bucket_time - window / bucket_time;
--- a/src/galenapulley/retry_budget.hpp
+++ b/src/galenapulley/retry_budget.hpp
@@ -32,6 +32,8 @@
     void set_allowance(retry_allowance value) { allowance_ = value; }
 
     void on_request(msec now);
+    /// Counts a retry that another node has taken.
+    void on_retry(msec now);
     /// Takes one retry from the budget. `attempts` counts the back ends that
     /// the request has tried. Returns false if no retry is allowed.
     bool take_retry(std::uint32_t attempts, msec now);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -35,8 +35,8 @@
 constexpr msec retry_after_too_large = 30'000;
 constexpr std::size_t strikes_kept = 4096;
 constexpr std::size_t crashes_to_quarantine = 3;
-/// Part of the cluster's retries that is used; peers that are not known take
-/// theirs from the rest.
+/// Part of the cluster's retries that is used; the rest is for retries that
+/// several nodes take before they hear of each other's.
 constexpr double allowance_share = 0.7;
 
 double value_of(double prompt_tokens)
@@ -107,26 +107,47 @@
     , log_(log)
     , strikes_(strikes_kept, crashes_to_quarantine)
 {
-    set_live_nodes(0);
+    set_nodes(0, 0);
 }
 
-void dispatcher::set_live_nodes(std::size_t n)
+void dispatcher::set_nodes(std::size_t live, std::size_t known)
 {
-    const auto nodes = static_cast<double>(n + 1);
-    own_allowance_ = {
-        .base = static_cast<std::uint32_t>(
-            allowance_share * options_.cluster_retries.base / nodes),
+    // Retries of nodes that can't be heard are not counted here, so these keep
+    // their part.
+    const double heard =
+        static_cast<double>(live + 1) /
+        static_cast<double>(std::max(live, known) + 1);
+    allowance_ = {
+        .base = static_cast<std::uint32_t>(allowance_share * heard *
+                                           options_.cluster_retries.base),
         .ratio = allowance_share * options_.cluster_retries.ratio};
     for (auto& [service, budget] : budgets_)
-        budget.set_allowance(own_allowance_);
+        budget.set_allowance(allowance_);
+}
+
+retry_budget& dispatcher::budget_of(const std::string& service)
+{
+    const auto [it, added] = budgets_.try_emplace(service);
+    if (added)
+        it->second.set_allowance(allowance_);
+    return it->second;
+}
+
+void dispatcher::count_peer_work(const wire::work_entry& entry)
+{
+    const auto* const runner = registry_.find(entry.endpoints(0));
+    if (runner == nullptr)
+        return;
+    auto& budget = budget_of(runner->description.service);
+    if (entry.repeat())
+        budget.on_retry(clock_.now());
+    else
+        budget.on_request(clock_.now());
 }
 
 void dispatcher::request(dispatch_request item, answer_callback done)
 {
     const auto now = clock_.now();
-    auto [budget, added] = budgets_.try_emplace(item.service);
-    if (added)
-        budget->second.set_allowance(own_allowance_);
     if (strikes_.is_quarantined(item.fingerprint, now))
     {
         refuse(item,
@@ -145,9 +166,10 @@
                done);
         return;
     }
+    auto& budget = budget_of(item.service);
     if (!item.repeat)
-        budget->second.on_request(now);
-    else if (!budget->second.take_retry(now))
+        budget.on_request(now);
+    else if (!budget.take_retry(now))
     {
         refuse(item,
                {.kind = error_kind::overloaded,
@@ -320,6 +342,7 @@
                           .tell_first_event = choice.part_ms > long_read_ms});
     wire::work_update update;
     write_entry(work, now, *update.add_placed());
+    update.mutable_placed(0)->set_repeat(item.repeat);
     const auto& load = list.load[choice.chosen.front()].load;
     const auto helpers = joined_ids(list, choice);
     log_.write(
@@ -521,8 +544,13 @@
     const auto now = clock_.now();
     std::vector<placed_work> placed;
     for (const auto& it : message.placed())
-        if (it.endpoints_size() > 0)
-            placed.push_back(read_entry(it, node, now));
+    {
+        if (it.endpoints_size() == 0)
+            continue;
+        placed.push_back(read_entry(it, node, now));
+        if (!message.complete())
+            count_peer_work(it);
+    }
     if (message.complete())
         load_.replace_node(node, std::move(placed), now);
     else
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -24,6 +24,7 @@
 
 namespace wire
 {
+class work_entry;
 class work_update;
 } // namespace wire
 
@@ -69,7 +70,8 @@
     void set_endpoints(const std::vector<endpoint>& entries, bool dependable);
     void drop_missing(bool dependable, msec dependable_since);
     void set_withdrawn(std::set<std::string> domains);
-    void set_live_nodes(std::size_t n);
+    /// Nodes other than this one that are live, and that are known at all.
+    void set_nodes(std::size_t live, std::size_t known);
 
     void on_update(const std::string& node, const wire::work_update& message);
     void on_node_lost(const std::string& node);
@@ -116,6 +118,8 @@
     void serve_waiting();
     void note_failure(const own_work& work, call_outcome outcome,
                       endpoint_key at_fault);
+    retry_budget& budget_of(const std::string& service);
+    void count_peer_work(const wire::work_entry& entry);
     void note_strike(const own_work& work, call_outcome outcome);
     /// Why no endpoints of the service can serve the request in time, however
     /// idle they are; empty if they can.
@@ -131,8 +135,9 @@
     fleet_load load_;
     waiting_line line_;
     strike_registry strikes_;
+    /// Requests and retries of all nodes by service.
     std::map<std::string, retry_budget> budgets_;
-    retry_allowance own_allowance_;
+    retry_allowance allowance_;
     std::set<std::string> withdrawn_;
     std::unordered_map<std::uint64_t, waiting_request> waiting_;
     std::unordered_map<std::uint64_t, own_work> own_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -290,8 +290,7 @@
             log_.write(log_event::peer_gained,
                        {{"peer", std::string_view(node)},
                         {"incarnation", incarnation}});
-    if (live.size() != live_.size())
-        dispatcher_.set_live_nodes(live.size());
+    dispatcher_.set_nodes(live.size(), members_.known_peers());
     live_ = std::move(live);
     dispatcher_.drop_missing(view_.store_reached(), view_.dependable_since());
 }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -65,7 +65,8 @@
         target.set_endpoints(all, true);
     }
 
-    std::optional<dispatch_answer> ask(double prompt_tokens)
+    std::optional<dispatch_answer> ask(double prompt_tokens,
+                                       bool repeat = false)
     {
         std::optional<dispatch_answer> out;
         target.request({.id = ++next,
@@ -77,7 +78,8 @@
                         .output_tokens = 100,
                         .received_at = time.now(),
                         .give_up_at = time.now() + 10'000,
-                        .fingerprint = next},
+                        .fingerprint = next,
+                        .repeat = repeat},
                        [&out](dispatch_answer it) { out = std::move(it); });
         // An answer that comes later would refer to a variable that is gone.
         if (!out)
@@ -165,3 +167,61 @@
     fleet.time.advance(cold_time);
     BOOST_TEST(fleet.ask(500).has_value());
 }
+
+namespace
+{
+
+/// A peer's announcement of one placement on the first endpoint.
+wire::work_update announcement(const one_endpoint& fleet, std::uint64_t request,
+                               bool repeat)
+{
+    wire::work_update out;
+    auto& entry = *out.add_placed();
+    entry.set_request(request);
+    entry.add_endpoints(fleet.target.endpoints().all().begin()->second.key);
+    entry.set_repeat(repeat);
+    return out;
+}
+
+std::size_t retries_granted(one_endpoint& fleet, int asked)
+{
+    std::size_t out = 0;
+    for (int n = 0; n < asked; ++n)
+    {
+        const auto answer = fleet.ask(500, true);
+        out += answer && std::holds_alternative<dispatch_grant>(*answer);
+    }
+    return out;
+}
+
+} // namespace
+
+// Load: a few endpoints fail, and all requests that meet them came by one
+// node. A fixed part of the budget for each node would be used up there while
+// the others use none of theirs.
+BOOST_AUTO_TEST_CASE(one_node_may_use_retries_that_the_others_leave)
+{
+    one_endpoint fleet(0);
+    fleet.target.set_nodes(99, 99);
+    const auto granted = retries_granted(fleet, 80);
+    BOOST_TEST(granted >= 60U);
+    BOOST_TEST(granted <= 100U);
+}
+
+// Guards against more retries of all nodes than the cluster may make.
+BOOST_AUTO_TEST_CASE(retries_of_peers_count)
+{
+    one_endpoint fleet(0);
+    fleet.target.set_nodes(99, 99);
+    for (std::uint64_t n = 0; n < 70; ++n)
+        fleet.target.on_update("n2", announcement(fleet, 1000 + n, true));
+    BOOST_TEST(retries_granted(fleet, 10) <= 1U);
+}
+
+// Guards against two halves of a cut cluster that use the whole budget each.
+BOOST_AUTO_TEST_CASE(nodes_that_are_not_heard_keep_their_part_of_the_budget)
+{
+    one_endpoint fleet(0);
+    fleet.target.set_nodes(49, 99);
+    BOOST_TEST(retries_granted(fleet, 80) <= 50U);
+}
