Nodes tell each other of endpoints whose calls fail

Change: work updates name the endpoints of failed calls; the failures of two peers within 2 s keep an endpoint out of use for the usual pauses, unless more than a third of the service's endpoints are named.

--- a/src/galenapulley/endpoint_registry.cpp
+++ b/src/galenapulley/endpoint_registry.cpp
@@ -80,9 +80,29 @@
     auto* const it = lookup(key);
     if (it == nullptr)
         return;
-    const auto pause = avoid_time << std::min(it->failures, 4U);
-    ++it->failures;
-    it->avoid_until = now + std::min(pause, avoid_time_max);
+    it->avoid_until = now + pause_after(it->failures++);
+}
+
+msec endpoint_registry::pause_after(std::uint32_t failures)
+{
+    return std::min(avoid_time << std::min(failures, 4U), avoid_time_max);
+}
+
+void endpoint_registry::on_peer_failure(endpoint_key key,
+                                        const std::string& peer, msec now)
+{
+    auto* const it = lookup(key);
+    if (it == nullptr)
+        return;
+    const bool confirmed = !it->reported_by.empty() &&
+                           it->reported_by != peer &&
+                           now - it->reported_at < confirm_time;
+    it->reported_by = peer;
+    it->reported_at = now;
+    // Failures of calls that began before the pause don't prolong it.
+    if (!confirmed || it->peers_avoid_until > now)
+        return;
+    it->peers_avoid_until = now + pause_after(it->peer_failures++);
 }
 
 void endpoint_registry::on_full(endpoint_key key, msec now)
@@ -98,6 +118,8 @@
         return;
     it->failures = 0;
     it->avoid_until = 0;
+    it->peer_failures = 0;
+    it->peers_avoid_until = 0;
 }
 
 void endpoint_registry::on_cold(endpoint_key key, msec left, msec now)
@@ -117,10 +139,14 @@
 endpoint_registry::usable(const std::string& service, msec now) const
 {
     std::vector<const known_endpoint*> out;
+    std::vector<const known_endpoint*> reported;
     for (const auto& [id, it] : all_)
         if (it.description.service == service && !it.description.draining &&
             it.avoid_until <= now)
-            out.push_back(&it);
+            (it.peers_avoid_until > now ? reported : out).push_back(&it);
+    const auto total = static_cast<double>(out.size() + reported.size());
+    if (static_cast<double>(reported.size()) > most_reported * total)
+        out.insert(out.end(), reported.begin(), reported.end());
     return out;
 }
 
--- a/src/galenapulley/endpoint_registry.hpp
+++ b/src/galenapulley/endpoint_registry.hpp
@@ -25,6 +25,13 @@
     /// Calls failed; it gets no new work until then.
     msec avoid_until = 0;
     std::uint32_t failures = 0;
+    /// The peer that has told of a failed call last, and when.
+    std::string reported_by{};
+    msec reported_at = 0;
+    /// Peers' calls failed; it gets no new work until then, unless the same is
+    /// said of many endpoints.
+    msec peers_avoid_until = 0;
+    std::uint32_t peer_failures = 0;
 };
 
 /// All endpoints, from the entries that they keep in the platform's store.
@@ -42,6 +49,10 @@
 
     /// A call could not reach the endpoint, or it broke off.
     void on_failure(endpoint_key key, msec now);
+    /// A peer tells that its call has failed. Only failures of different
+    /// nodes within a short time count: a node that is cut off finds every
+    /// endpoint to fail.
+    void on_peer_failure(endpoint_key key, const std::string& peer, msec now);
     /// The endpoint has refused for lack of room.
     void on_full(endpoint_key key, msec now);
     void on_success(endpoint_key key);
@@ -61,6 +72,11 @@
     /// First pause after a failed call; it doubles with each further one.
     static constexpr msec avoid_time = 200;
     static constexpr msec avoid_time_max = 3000;
+    /// Time within which a second peer's failure confirms the first one's.
+    static constexpr msec confirm_time = 2000;
+    /// Part of a service's endpoints that peers' failures keep out of use; if
+    /// there are more, the trouble is between nodes and endpoints.
+    static constexpr double most_reported = 0.34;
     /// Pause after a refusal for lack of room.
     static constexpr msec full_time = 60;
     /// An entry whose address another endpoint has lapses within this time.
@@ -68,6 +84,7 @@
 
 private:
     known_endpoint* lookup(endpoint_key key);
+    static msec pause_after(std::uint32_t failures);
 
     std::map<std::string, known_endpoint> all_;
 };
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -87,6 +87,14 @@
         .writing = from.writing()};
 }
 
+/// Outcomes that speak against the endpoint for all nodes.
+bool is_failure(call_outcome outcome)
+{
+    return outcome == call_outcome::unreachable ||
+           outcome == call_outcome::broken_before_answer ||
+           outcome == call_outcome::broken_answer;
+}
+
 /// Ids of the endpoints that only read a part.
 template <typename List>
 std::string joined_ids(const List& list, const placement_choice& choice)
@@ -114,13 +122,11 @@
 {
     // Retries of nodes that can't be heard are not counted here, so these keep
     // their part.
-    const double heard =
-        static_cast<double>(live + 1) /
-        static_cast<double>(std::max(live, known) + 1);
-    allowance_ = {
-        .base = static_cast<std::uint32_t>(allowance_share * heard *
-                                           options_.cluster_retries.base),
-        .ratio = allowance_share * options_.cluster_retries.ratio};
+    const double heard = static_cast<double>(live + 1) /
+                         static_cast<double>(std::max(live, known) + 1);
+    allowance_ = {.base = static_cast<std::uint32_t>(
+                      allowance_share * heard * options_.cluster_retries.base),
+                  .ratio = allowance_share * options_.cluster_retries.ratio};
     for (auto& [service, budget] : budgets_)
         budget.set_allowance(allowance_);
 }
@@ -440,6 +446,8 @@
     note_failure(work, outcome, at_fault);
     wire::work_update update;
     update.add_ended(id);
+    if (is_failure(outcome))
+        update.add_failed(at_fault == 0 ? work.runner : at_fault);
     announce_(update);
     serve_waiting();
 }
@@ -560,6 +568,8 @@
         load_.on_first_event(id, now);
     for (const auto id : message.ended())
         load_.remove(id, now);
+    for (const auto key : message.failed())
+        registry_.on_peer_failure(key, node, now);
     if (message.ended_size() > 0 || message.complete())
         serve_waiting();
 }
--- a/tests/unit/endpoint_registry_test.cpp
+++ b/tests/unit/endpoint_registry_test.cpp
@@ -112,3 +112,31 @@
     registry.update({cold}, true, 2000);
     BOOST_TEST(registry.all().at("a").cold_until == 4000);
 }
+
+// Load: an endpoint that resets its connections ends requests at once and so
+// looks idle to every node. Each of 142 nodes sent it work until it had failed
+// there as well.
+BOOST_AUTO_TEST_CASE(failures_of_two_peers_keep_an_endpoint_out_of_use)
+{
+    endpoint_registry registry;
+    registry.update({entry("a"), entry("b"), entry("c")}, true, 0);
+    const auto key = registry.all().at("a").key;
+    registry.on_peer_failure(key, "n2", 1000);
+    registry.on_peer_failure(key, "n2", 1010);
+    BOOST_TEST(usable(registry, 1020) == 3U);
+    registry.on_peer_failure(key, "n3", 1020);
+    BOOST_TEST(usable(registry, 1020) == 2U);
+    BOOST_TEST(usable(registry, 1020 + endpoint_registry::avoid_time) == 3U);
+}
+
+// Guards against nodes that are cut off from the endpoints and take these from
+// all others.
+BOOST_AUTO_TEST_CASE(peers_that_find_many_endpoints_to_fail_are_not_believed)
+{
+    endpoint_registry registry;
+    registry.update({entry("a"), entry("b"), entry("c")}, true, 0);
+    for (const auto& [id, it] : registry.all())
+        for (const auto* const peer : {"n2", "n3"})
+            registry.on_peer_failure(it.key, peer, 1000);
+    BOOST_TEST(usable(registry, 1010) == 3U);
+}
