Long reads are begun only where their client still waits for them

A whole prompt was held back for the harm it would do to parts that engines read ahead of it. Change: a choice whose first event comes after the client has left is none; the limit of silence follows the expected time; only parts harm earlier parts.

--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -18,9 +18,10 @@
 /// of the answer takes time, too.
 constexpr double give_up_share = 0.7;
 /// Clients leave after a pause of this length, or of so many times the pause
-/// that they accept.
+/// or the time to the first event that they accept.
 constexpr double shortest_abandon_ms = 2000;
 constexpr double abandon_gaps = 8;
+constexpr double abandon_targets = 4;
 /// Loss per millisecond of expected first event, relative to the target. It
 /// decides between placements that are all in time.
 constexpr double delay_weight = 0.05;
@@ -102,6 +103,8 @@
         for (std::size_t parts = 1; parts <= most; ++parts)
         {
             auto it = with_parts(parts);
+            if (it && request_.max_parts > 1 && !is_in_time(*it))
+                continue;
             if (it && (!found || it->loss < found->loss))
                 found = std::move(it);
         }
@@ -110,6 +113,16 @@
         return found;
     }
 
+    /// Whether the client still waits when the first event comes.
+    bool is_in_time(const placement_choice& it) const
+    {
+        const double leaves =
+            std::max({shortest_abandon_ms, abandon_gaps * request_.gap_ms,
+                      abandon_targets * request_.target_ms});
+        return request_.waited_ms + it.first_event_ms <
+               std::min(leaves, give_up_share * request_.limit_ms);
+    }
+
     /// Whether others lose more than the request gains.
     bool should_wait(const placement_choice& it) const
     {
@@ -152,8 +165,10 @@
                           delay_weight * time / std::max(1.0, r.target_ms));
     }
 
-    /// Worth that others lose when an engine reads `part` more.
-    double harm(const placement_candidate& it, double part) const
+    /// Worth that others lose when an engine reads `part` more, as one of
+    /// `parts`.
+    double harm(const placement_candidate& it, double part,
+                std::size_t parts) const
     {
         const double before = pass_ms(it, it.load.backlog_ms);
         const double after = pass_ms(it, it.load.backlog_ms + part);
@@ -161,7 +176,7 @@
         for (const auto& w : it.load.writers)
             loss += writer_loss(w, after) - writer_loss(w, before);
         // Parts of split prompts are read before everything that waits.
-        if (request_.max_parts > 1)
+        if (parts > 1)
             for (const auto& r : it.load.reads)
                 loss += read_loss(r, r.finish_ms + part) -
                         read_loss(r, r.finish_ms);
@@ -191,7 +206,7 @@
             const auto& it = candidates_[n];
             const double own =
                 own_loss(first_event_ms(it, it.load.backlog_ms, part));
-            const double disturbed = harm(it, part);
+            const double disturbed = harm(it, part, parts);
             out.push_back({.index = n,
                            .harm = disturbed,
                            .cost = disturbed + own - packing(it) +
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -34,6 +34,8 @@
 /// targets of the first event.
 constexpr msec first_event_slack = 3500;
 constexpr msec silent_targets = 2;
+/// The same for a read that is expected to take long, relative to that time.
+constexpr double expected_share = 1.6;
 /// A stream that has begun goes on elsewhere after this silence, or after so
 /// many accepted pauses.
 constexpr msec shortest_silence = 1000;
@@ -205,6 +207,7 @@
         state_.metrics.observe(request_stage::placement,
                                placed_at_ - request_.received.received_at);
     at_fault_ = 0;
+    expected_first_event_ms_ = grant.expected_first_event_ms;
     call_ = std::make_shared<endpoint_call>(state_.io);
     auto outcome = call_outcome::completed;
     if (grant.shares_memory)
@@ -391,9 +394,12 @@
         return std::min(left, std::max(shortest_silence,
                                        silent_gaps * request_.way->gap_target));
     // An engine that is busy is silent as well, and a repeat makes it busier.
-    return std::min(left / 2,
-                    first_event_slack +
-                        silent_targets * request_.way->target_latency);
+    const auto usual =
+        std::min(left / 2, first_event_slack +
+                               silent_targets * request_.way->target_latency);
+    const auto expected =
+        static_cast<msec>(expected_share * expected_first_event_ms_);
+    return std::min(left, std::max(usual, expected));
 }
 
 asio::awaitable<call_outcome> forwarding::relay_whole(header_list headers)
--- a/tests/gateway/gateway_memory_test.cpp
+++ b/tests/gateway/gateway_memory_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/one_gateway.hpp"
 
+#include <nlohmann/json.hpp>
+
 using namespace galenapulley;
 using namespace galenapulley::testing;
 
@@ -43,8 +45,34 @@
     }
 };
 
+/// Engines that read 900 tokens in 3.6 s.
+std::string slow_engines()
+{
+    auto out =
+        nlohmann::json::parse(sample_configuration(1, "", engine_tokens));
+    out["Services"][0]["Engine"]["read_per_s"] = 250;
+    return out.dump();
+}
+
+struct two_slow_engines : one_gateway
+{
+    two_slow_engines() : one_gateway(slow_engines()) {}
+};
+
 } // namespace
 
+// Guards against a long read that is cut off and begun anew elsewhere, which
+// takes as long again: the engine is silent because it reads.
+BOOST_FIXTURE_TEST_CASE(an_engine_that_reads_as_expected_is_waited_for,
+                        two_slow_engines)
+{
+    set_both({.events = 3, .first_event_pause = 2000});
+    const auto answer = gateway->call(sample_request(
+        "POST", "/s/x", "t1", "", "Galenapulley-Token-Usage: 900,20\r\n"));
+    BOOST_TEST(answer.complete);
+    BOOST_TEST(arrivals() == 1U);
+}
+
 // Guards against memory that stays set aside after its request has ended.
 BOOST_FIXTURE_TEST_CASE(memory_is_set_aside_used_and_given_back, two_engines)
 {
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -187,6 +187,8 @@
 bool endpoint_standin::stream(wire_socket& socket, const wire_request& request,
                               const endpoint_behaviour& how)
 {
+    if (how.first_event_pause > 0)
+        pause_for(how.first_event_pause);
     if (!write_bytes(socket, head(request, 200) +
                                  "Content-Type: text/event-stream\r\n"
                                  "Transfer-Encoding: chunked\r\n\r\n"))
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -32,6 +32,7 @@
     /// Event after whose first half the connection is reset.
     std::uint64_t breaks_in = 0;
     msec event_pause = 0;
+    msec first_event_pause = 0;
     std::string body = "content";
     /// Has no memory to set aside.
     bool refuses_memory = false;
