--- a/src/galenapulley/endpoint_registry.cpp
+++ b/src/galenapulley/endpoint_registry.cpp
@@ -88,12 +88,12 @@
     return std::min(avoid_time << std::min(failures, 4U), avoid_time_max);
 }
 
-void endpoint_registry::on_peer_failure(endpoint_key key,
+bool endpoint_registry::on_peer_failure(endpoint_key key,
                                         const std::string& peer, msec now)
 {
     auto* const it = lookup(key);
     if (it == nullptr)
-        return;
+        return false;
     const bool confirmed = !it->reported_by.empty() &&
                            it->reported_by != peer &&
                            now - it->reported_at < confirm_time;
@@ -101,8 +101,9 @@
     it->reported_at = now;
     // Failures of calls that began before the pause don't prolong it.
     if (!confirmed || it->peers_avoid_until > now)
-        return;
+        return false;
     it->peers_avoid_until = now + pause_after(it->peer_failures++);
+    return true;
 }
 
 void endpoint_registry::on_full(endpoint_key key, msec now)
--- a/src/galenapulley/endpoint_registry.hpp
+++ b/src/galenapulley/endpoint_registry.hpp
@@ -51,8 +51,8 @@
     void on_failure(endpoint_key key, msec now);
     /// A peer tells that its call has failed. Only failures of different
     /// nodes within a short time count: a node that is cut off finds every
-    /// endpoint to fail.
-    void on_peer_failure(endpoint_key key, const std::string& peer, msec now);
+    /// endpoint to fail. Returns whether a pause begins.
+    bool on_peer_failure(endpoint_key key, const std::string& peer, msec now);
     /// The endpoint has refused for lack of room.
     void on_full(endpoint_key key, msec now);
     void on_success(endpoint_key key);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -355,6 +355,7 @@
         log_event::placed,
         {{"request", std::string_view(item.attempt)},
          {"endpoint", std::string_view(out.runner.id)},
+         {"failure_domain", std::string_view(out.runner.failure_domain)},
          {"prompt_tokens", item.prompt_tokens},
          {"helpers", std::string_view(helpers)},
          {"parts", static_cast<std::int64_t>(choice.chosen.size())},
@@ -494,10 +495,28 @@
         log_.write(log_event::endpoint_avoided,
                    {{"endpoint", std::string_view(known->description.id)},
                     {"outcome", name_of(outcome)},
+                    {"failure_domain",
+                     std::string_view(known->description.failure_domain)},
+                    {"reported_by", std::string_view()},
                     {"failures", static_cast<std::int64_t>(known->failures)},
                     {"until_ms", known->avoid_until - now}});
 }
 
+void dispatcher::note_peer_failure(endpoint_key key, const std::string& peer)
+{
+    const auto now = clock_.now();
+    if (!registry_.on_peer_failure(key, peer, now))
+        return;
+    const auto& known = *registry_.find(key);
+    log_.write(
+        log_event::endpoint_avoided,
+        {{"endpoint", std::string_view(known.description.id)},
+         {"failure_domain", std::string_view(known.description.failure_domain)},
+         {"reported_by", std::string_view(peer)},
+         {"failures", static_cast<std::int64_t>(known.peer_failures)},
+         {"until_ms", known.peers_avoid_until - now}});
+}
+
 void dispatcher::note_strike(const own_work& work, call_outcome outcome)
 {
     const auto now = clock_.now();
@@ -569,7 +588,7 @@
     for (const auto id : message.ended())
         load_.remove(id, now);
     for (const auto key : message.failed())
-        registry_.on_peer_failure(key, node, now);
+        note_peer_failure(key, node);
     if (message.ended_size() > 0 || message.complete())
         serve_waiting();
 }
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -120,6 +120,7 @@
                       endpoint_key at_fault);
     retry_budget& budget_of(const std::string& service);
     void count_peer_work(const wire::work_entry& entry);
+    void note_peer_failure(endpoint_key key, const std::string& peer);
     void note_strike(const own_work& work, call_outcome outcome);
     /// Why no endpoints of the service can serve the request in time, however
     /// idle they are; empty if they can.
