--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
+#include <cmath>
 #include <utility>
 
 namespace galenapulley
@@ -265,8 +265,7 @@
              .slots = it->description.slots,
              .same_domain =
                  it->description.failure_domain == options_.failure_domain,
-             .chance = static_cast<double>(chance) /
-                       std::numeric_limits<std::uint64_t>::max()});
+             .chance = std::ldexp(static_cast<double>(chance), -64)});
     }
     return list;
 }
--- a/tests/unit/watch_duty_test.cpp
+++ b/tests/unit/watch_duty_test.cpp
@@ -10,6 +10,7 @@
 std::vector<std::string> nodes(int n)
 {
     std::vector<std::string> out;
+    out.reserve(static_cast<std::size_t>(n));
     for (int k = 0; k < n; ++k)
         out.push_back("n" + std::to_string(k));
     return out;
