Dispatcher and forwarding: parts of their own files

What the dispatcher learns from others, the encoding of announcements, and requests with shared memory have files of their own; no behaviour changes.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -1,7 +1,7 @@
 #include "gateway/dispatcher.hpp"
 
 #include "gateway/event_log.hpp"
-#include "peer.pb.h"
+#include "gateway/work_message.hpp"
 
 #include <xxhash.h>
 
@@ -35,9 +35,6 @@
 constexpr msec retry_after_too_large = 30'000;
 constexpr std::size_t strikes_kept = 4096;
 constexpr std::size_t crashes_to_quarantine = 3;
-/// Part of the cluster's retries that is used; the rest is for retries that
-/// several nodes take before they hear of each other's.
-constexpr double allowance_share = 0.7;
 
 double value_of(double prompt_tokens)
 {
@@ -52,41 +49,6 @@
     return &*service->engine;
 }
 
-void write_entry(const placed_work& from, msec now, wire::work_entry& to)
-{
-    to.set_request(from.request);
-    for (const auto key : from.endpoints)
-        to.add_endpoints(key);
-    to.set_prompt_tokens(static_cast<std::uint32_t>(from.prompt_tokens));
-    to.set_output_tokens(static_cast<std::uint32_t>(from.output_tokens));
-    to.set_part_ms(static_cast<float>(from.part_ms));
-    to.set_gap_target_ms(static_cast<std::uint32_t>(from.gap_target));
-    to.set_value(static_cast<float>(from.value));
-    to.set_writing(from.writing);
-    to.set_due_in_ms(static_cast<std::int32_t>(from.due_at - now));
-    to.set_target_ms(static_cast<std::uint32_t>(from.target));
-    for (const auto tokens : from.held_tokens)
-        to.add_held_tokens(static_cast<std::uint32_t>(tokens));
-}
-
-placed_work read_entry(const wire::work_entry& from, const std::string& node,
-                       msec now)
-{
-    return {
-        .request = from.request(),
-        .node = node,
-        .endpoints = {from.endpoints().begin(), from.endpoints().end()},
-        .prompt_tokens = static_cast<double>(from.prompt_tokens()),
-        .output_tokens = static_cast<double>(from.output_tokens()),
-        .held_tokens = {from.held_tokens().begin(), from.held_tokens().end()},
-        .part_ms = from.part_ms(),
-        .gap_target = from.gap_target_ms(),
-        .value = from.value(),
-        .due_at = now + from.due_in_ms(),
-        .target = from.target_ms(),
-        .writing = from.writing()};
-}
-
 /// Outcomes that speak against the endpoint for all nodes.
 bool is_failure(call_outcome outcome)
 {
@@ -118,19 +80,6 @@
     set_nodes(0, 0);
 }
 
-void dispatcher::set_nodes(std::size_t live, std::size_t known)
-{
-    // Retries of nodes that can't be heard are not counted here, so these keep
-    // their part.
-    const double heard = static_cast<double>(live + 1) /
-                         static_cast<double>(std::max(live, known) + 1);
-    allowance_ = {.base = static_cast<std::uint32_t>(
-                      allowance_share * heard * options_.cluster_retries.base),
-                  .ratio = allowance_share * options_.cluster_retries.ratio};
-    for (auto& [service, budget] : budgets_)
-        budget.set_allowance(allowance_);
-}
-
 retry_budget& dispatcher::budget_of(const std::string& service)
 {
     const auto [it, added] = budgets_.try_emplace(service);
@@ -139,18 +88,6 @@
     return it->second;
 }
 
-void dispatcher::count_peer_work(const wire::work_entry& entry)
-{
-    const auto* const runner = registry_.find(entry.endpoints(0));
-    if (runner == nullptr)
-        return;
-    auto& budget = budget_of(runner->description.service);
-    if (entry.repeat())
-        budget.on_retry(clock_.now());
-    else
-        budget.on_request(clock_.now());
-}
-
 void dispatcher::request(dispatch_request item, answer_callback done)
 {
     const auto now = clock_.now();
@@ -501,21 +438,6 @@
                     {"until_ms", known->avoid_until - now}});
 }
 
-void dispatcher::note_peer_failure(endpoint_key key, const std::string& peer)
-{
-    const auto now = clock_.now();
-    if (!registry_.on_peer_failure(key, peer, now))
-        return;
-    const auto& known = *registry_.find(key);
-    log_.write(
-        log_event::endpoint_avoided,
-        {{"endpoint", std::string_view(known.description.id)},
-         {"failure_domain", std::string_view(known.description.failure_domain)},
-         {"reported_by", std::string_view(peer)},
-         {"failures", static_cast<std::int64_t>(known.peer_failures)},
-         {"until_ms", known.peers_avoid_until - now}});
-}
-
 void dispatcher::note_strike(const own_work& work, call_outcome outcome)
 {
     const auto now = clock_.now();
@@ -532,75 +454,4 @@
                              strikes_.is_quarantined(work.fingerprint, now))}});
 }
 
-void dispatcher::announce_all()
-{
-    wire::work_update update;
-    update.set_complete(true);
-    const auto now = clock_.now();
-    for (const auto* const it : load_.work_of(options_.node))
-        write_entry(*it, now, *update.add_placed());
-    announce_(update);
-}
-
-void dispatcher::set_endpoints(const std::vector<endpoint>& entries,
-                               bool dependable)
-{
-    registry_.update(entries, dependable, clock_.now());
-    log_.write(log_event::endpoints,
-               {{"entries", static_cast<std::int64_t>(entries.size())},
-                {"known", static_cast<std::int64_t>(registry_.all().size())},
-                {"dependable", static_cast<std::int64_t>(dependable)}});
-    serve_waiting();
-}
-
-void dispatcher::drop_missing(bool dependable, msec dependable_since)
-{
-    registry_.drop_missing(dependable, dependable_since, clock_.now());
-}
-
-void dispatcher::set_withdrawn(std::set<std::string> domains)
-{
-    withdrawn_ = std::move(domains);
-    serve_waiting();
-}
-
-void dispatcher::on_update(const std::string& node,
-                           const wire::work_update& message)
-{
-    const auto now = clock_.now();
-    std::vector<placed_work> placed;
-    for (const auto& it : message.placed())
-    {
-        if (it.endpoints_size() == 0)
-            continue;
-        placed.push_back(read_entry(it, node, now));
-        if (!message.complete())
-            count_peer_work(it);
-    }
-    if (message.complete())
-        load_.replace_node(node, std::move(placed), now);
-    else
-        for (auto& it : placed)
-            load_.add(std::move(it), now);
-    for (const auto id : message.first_event())
-        load_.on_first_event(id, now);
-    for (const auto id : message.ended())
-        load_.remove(id, now);
-    for (const auto key : message.failed())
-        note_peer_failure(key, node);
-    if (message.ended_size() > 0 || message.complete())
-        serve_waiting();
-}
-
-void dispatcher::on_node_lost(const std::string& node)
-{
-    load_.remove_node(node, clock_.now());
-    serve_waiting();
-}
-
-void dispatcher::on_strike(const strike& item)
-{
-    strikes_.add(item, clock_.now());
-}
-
 } // namespace galenapulley
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -125,6 +125,7 @@
     /// Why no endpoints of the service can serve the request in time, however
     /// idle they are; empty if they can.
     std::string_view why_impossible(const dispatch_request& item) const;
+    /// Endpoints that may read parts of the request's prompt.
     std::size_t readers(const dispatch_request& item) const;
 
     dispatcher_options options_;
--- /dev/null
+++ b/src/gateway/dispatcher_peers.cpp
@@ -0,0 +1,134 @@
+#include "gateway/dispatcher.hpp"
+
+#include "gateway/event_log.hpp"
+#include "gateway/work_message.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// What the dispatcher learns from the store and from other nodes.
+
+namespace galenapulley
+{
+
+namespace
+{
+
+/// Part of the cluster's retries that is used; the rest is for retries that
+/// several nodes take before they hear of each other's.
+constexpr double allowance_share = 0.7;
+
+} // namespace
+
+void dispatcher::set_nodes(std::size_t live, std::size_t known)
+{
+    // Retries of nodes that can't be heard are not counted here, so these keep
+    // their part.
+    const double heard = static_cast<double>(live + 1) /
+                         static_cast<double>(std::max(live, known) + 1);
+    allowance_ = {.base = static_cast<std::uint32_t>(
+                      allowance_share * heard * options_.cluster_retries.base),
+                  .ratio = allowance_share * options_.cluster_retries.ratio};
+    for (auto& [service, budget] : budgets_)
+        budget.set_allowance(allowance_);
+}
+
+void dispatcher::count_peer_work(const wire::work_entry& entry)
+{
+    const auto* const runner = registry_.find(entry.endpoints(0));
+    if (runner == nullptr)
+        return;
+    auto& budget = budget_of(runner->description.service);
+    if (entry.repeat())
+        budget.on_retry(clock_.now());
+    else
+        budget.on_request(clock_.now());
+}
+
+void dispatcher::note_peer_failure(endpoint_key key, const std::string& peer)
+{
+    const auto now = clock_.now();
+    if (!registry_.on_peer_failure(key, peer, now))
+        return;
+    const auto& known = *registry_.find(key);
+    log_.write(
+        log_event::endpoint_avoided,
+        {{"endpoint", std::string_view(known.description.id)},
+         {"failure_domain", std::string_view(known.description.failure_domain)},
+         {"reported_by", std::string_view(peer)},
+         {"failures", static_cast<std::int64_t>(known.peer_failures)},
+         {"until_ms", known.peers_avoid_until - now}});
+}
+
+void dispatcher::announce_all()
+{
+    wire::work_update update;
+    update.set_complete(true);
+    const auto now = clock_.now();
+    for (const auto* const it : load_.work_of(options_.node))
+        write_entry(*it, now, *update.add_placed());
+    announce_(update);
+}
+
+void dispatcher::set_endpoints(const std::vector<endpoint>& entries,
+                               bool dependable)
+{
+    registry_.update(entries, dependable, clock_.now());
+    log_.write(log_event::endpoints,
+               {{"entries", static_cast<std::int64_t>(entries.size())},
+                {"known", static_cast<std::int64_t>(registry_.all().size())},
+                {"dependable", static_cast<std::int64_t>(dependable)}});
+    serve_waiting();
+}
+
+void dispatcher::drop_missing(bool dependable, msec dependable_since)
+{
+    registry_.drop_missing(dependable, dependable_since, clock_.now());
+}
+
+void dispatcher::set_withdrawn(std::set<std::string> domains)
+{
+    withdrawn_ = std::move(domains);
+    serve_waiting();
+}
+
+void dispatcher::on_update(const std::string& node,
+                           const wire::work_update& message)
+{
+    const auto now = clock_.now();
+    std::vector<placed_work> placed;
+    for (const auto& it : message.placed())
+    {
+        if (it.endpoints_size() == 0)
+            continue;
+        placed.push_back(read_entry(it, node, now));
+        if (!message.complete())
+            count_peer_work(it);
+    }
+    if (message.complete())
+        load_.replace_node(node, std::move(placed), now);
+    else
+        for (auto& it : placed)
+            load_.add(std::move(it), now);
+    for (const auto id : message.first_event())
+        load_.on_first_event(id, now);
+    for (const auto id : message.ended())
+        load_.remove(id, now);
+    for (const auto key : message.failed())
+        note_peer_failure(key, node);
+    if (message.ended_size() > 0 || message.complete())
+        serve_waiting();
+}
+
+void dispatcher::on_node_lost(const std::string& node)
+{
+    load_.remove_node(node, clock_.now());
+    serve_waiting();
+}
+
+void dispatcher::on_strike(const strike& item)
+{
+    strikes_.add(item, clock_.now());
+}
+
+} // namespace galenapulley
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
@@ -228,63 +227,6 @@
     co_return next;
 }
 
-void forwarding::start_reservation(dispatch_grant& grant)
-{
-    std::vector<helper> holders;
-    for (auto& it : grant.helpers)
-    {
-        if (it.held_tokens <= 0)
-            continue;
-        it.reservation = fmt::format("{:x}-{:x}", dispatch_id_, it.key);
-        holders.push_back(it);
-    }
-    reservation_ =
-        std::make_shared<memory_reservation>(state_, std::move(holders));
-    wake_.expires_at(std::chrono::steady_clock::time_point::max());
-    reservation_->take([this] { wake_.cancel(); });
-}
-
-asio::awaitable<call_outcome>
-forwarding::set_memory_aside(dispatch_grant& grant)
-{
-    start_reservation(grant);
-    boost::system::error_code ec;
-    co_await wake_.async_wait(redirect_error(use_awaitable, ec));
-    co_return outcome_of_reservation();
-}
-
-call_outcome forwarding::outcome_of_reservation()
-{
-    if (end_ != end_reason::none)
-        return end_ == end_reason::client_gone ? call_outcome::client_gone
-                                               : call_outcome::timed_out;
-    const auto* const failed = reservation_->failed();
-    state_.log.write(
-        failed == nullptr ? log_event::memory_set_aside
-                          : log_event::memory_refused,
-        {{"request", std::string_view(request_.facts.attempt)},
-         {"endpoint", failed == nullptr ? std::string_view()
-                                        : std::string_view(failed->id)},
-         {"answered", static_cast<std::int64_t>(failed == nullptr ||
-                                                reservation_->was_refused())},
-         {"holders", static_cast<std::int64_t>(reservation_->size())},
-         {"tokens", reservation_->tokens()},
-         {"ms", now() - placed_at_}});
-    if (failed == nullptr)
-        return call_outcome::completed;
-    at_fault_ = failed->key;
-    return reservation_->was_refused() ? call_outcome::memory_refused
-                                       : call_outcome::unreachable;
-}
-
-void forwarding::note_fault(const dispatch_grant& grant,
-                            const answer_facts& facts)
-{
-    for (const auto& it : grant.helpers)
-        if (facts.at_fault == it.id || facts.at_fault == it.address)
-            at_fault_ = it.key;
-}
-
 void forwarding::note_next_attempt(const dispatch_grant& grant,
                                    call_outcome outcome) const
 {
