Gossip: larger messages keep the time of suspicion in larger fleets

Cause: the time of suspicion grew with the members (times 6 with 109), because a message carried 8 entries; the directory named nodes that had been killed 15 s before. Change: the scale follows the entries of a message; gateways send up to 128 and suspect after 3 s.

--- a/src/galenapulley/membership.cpp
+++ b/src/galenapulley/membership.cpp
@@ -23,7 +23,8 @@
 constexpr std::int64_t full_heartbeats = 10;
 // Messages carry a bounded number of entries, so heartbeats take longer in a
 // larger fleet. With fixed times, 22% of 100 live nodes were suspected.
-constexpr std::size_t members_per_time_scale = 18;
+constexpr std::size_t members_per_entries = 9;
+constexpr std::size_t entries_for_members = 4;
 // Longer than the loss of contact between regions, about an hour.
 constexpr msec keep_lost = 21'600_sec;
 constexpr std::size_t max_lost = 1000;
@@ -433,8 +434,10 @@
 
 msec membership::time_scale() const
 {
-    return std::max<msec>(
-        1, static_cast<msec>(members_.size() / members_per_time_scale));
+    const auto members_in_time =
+        options_.max_entries * members_per_entries / entries_for_members;
+    return std::max<msec>(1,
+                          static_cast<msec>(members_.size() / members_in_time));
 }
 
 std::size_t membership::news_budget() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,7 +19,11 @@
 
 constexpr msec gossip_period = 500;
 /// Silence after which a node is no longer named to clients.
-constexpr msec suspect_after = 2500;
+constexpr msec suspect_after = 3000;
+/// Entries of a message: with more, heartbeats reach all of a larger fleet
+/// within the time of suspicion. Clients must not be sent to a node that ended
+/// 7 s ago; 128 entries keep the time at 3 s up to 575 nodes.
+constexpr std::size_t gossip_entries = 128;
 constexpr msec members_period = 250;
 constexpr msec tick_period = 20;
 constexpr msec flush_period = 200;
@@ -129,6 +133,7 @@
             .incarnation = incarnation_,
             .seeds = settings_.seeds,
             .period = gossip_period,
+            .max_entries = gossip_entries,
             .suspect_after = suspect_after,
             .seed = static_cast<std::uint64_t>(incarnation_)};
 }
--- a/tests/fakes/gossip_fleet.hpp
+++ b/tests/fakes/gossip_fleet.hpp
@@ -20,7 +20,8 @@
 struct gossip_node
 {
     gossip_node(std::size_t n, std::size_t zones, std::int64_t incarnation,
-                std::vector<std::string> seeds)
+                std::vector<std::string> seeds, std::size_t max_entries,
+                msec suspect_after)
         : name("n" + std::to_string(n))
         , zone("zone-" + std::to_string(n % zones))
         , gossip({.node = name,
@@ -29,6 +30,8 @@
                   .listen_address = address(1000 + n),
                   .incarnation = incarnation,
                   .seeds = std::move(seeds),
+                  .max_entries = max_entries,
+                  .suspect_after = suspect_after,
                   .seed = n + 1})
     {
     }
@@ -66,7 +69,9 @@
     using loss = std::function<bool(const gossip_node&, const gossip_node&)>;
 
     explicit gossip_fleet(std::size_t n, std::size_t zones = 3,
-                          std::size_t seeds = 1)
+                          std::size_t seeds = 1, std::size_t max_entries = 8,
+                          msec suspect_after = 5000)
+        : max_entries_(max_entries), suspect_after_(suspect_after)
     {
         for (std::size_t k = 0; k < seeds; ++k)
             seeds_.push_back(gossip_node::address(k));
@@ -137,7 +142,8 @@
 
     void add(std::size_t n, std::size_t zones, std::int64_t incarnation)
     {
-        auto it = std::make_unique<gossip_node>(n, zones, incarnation, seeds_);
+        auto it = std::make_unique<gossip_node>(n, zones, incarnation, seeds_,
+                                                max_entries_, suspect_after_);
         it->gossip.set_fill(
             [this, node = it.get()](wire::gossip& out, std::size_t)
             { out.set_store_read_age_ms(node->view.store_read_age(now_)); });
@@ -202,6 +208,8 @@
                   std::move(reply)});
     }
 
+    std::size_t max_entries_;
+    msec suspect_after_;
     std::vector<std::string> seeds_;
     std::vector<std::unique_ptr<gossip_node>> nodes_;
     std::deque<message> links_;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -59,6 +59,33 @@
     BOOST_TEST(suspected == 0U);
 }
 
+// Guards against clients that are sent to a node for 15 s after its end, as a
+// fleet of 109 was given six times as long to suspect it. Seen on
+// amabara-kigali-grown, a mix of troubles (DRAIN).
+BOOST_AUTO_TEST_CASE(larger_messages_keep_the_time_of_suspicion)
+{
+    constexpr std::size_t nodes = 109;
+    gossip_fleet fleet(nodes, 4, 1, 128, 6000);
+    fleet.rounds(20);
+    std::size_t suspected = 0;
+    for (int n = 0; n < 30; ++n)
+    {
+        fleet.round();
+        for (std::size_t k = 0; k < nodes; ++k)
+            suspected +=
+                nodes - 1 - fleet[k].gossip.live_members(fleet.now()).size();
+    }
+    BOOST_TEST(suspected == 0U);
+    fleet[4].down = true;
+    // Clients may be sent there for 7 s, which are 14 periods of a gateway.
+    fleet.rounds(14);
+    std::size_t unaware = 0;
+    for (std::size_t k = 0; k < nodes; ++k)
+        unaware += k != 4 && !fleet[k].gossip.is_suspected(
+                                 *fleet[k].gossip.find("n4"), fleet.now());
+    BOOST_TEST(unaware == 0U);
+}
+
 // Guards against dead nodes that others bring back by passing on old entries.
 BOOST_AUTO_TEST_CASE(a_dead_node_is_suspected_then_dropped_for_good)
 {
