Gateway: bound what endpoints and the store may send

Cause: an event without end grew the event splitter's buffer without limit, chunk extensions the connection's, and a body of the store curl's; up to 8 MB of each plain response was held beside the limit for bodies. A stream that sent a byte now and then never counted as stalled, so it was not resumed.

Change: limits for each of them; buffered responses count against the limit for bodies; the time allowed without events runs from the last event, twice as long as without any bytes.

The old code was not run against the test.

--- a/src/galenapulley/event_splitter.hpp
+++ b/src/galenapulley/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,9 +23,14 @@
     const std::optional<std::uint64_t>& first_id() const { return first_id_; }
     /// Whether an incomplete event is buffered.
     bool has_partial() const { return !buffer_.empty(); }
+    /// Whether the incomplete event is too long to be one, as bytes without
+    /// end are.
+    bool is_oversized() const { return buffer_.size() > max_event_bytes; }
     /// Number of complete events with an id.
     std::uint64_t event_count() const { return event_count_; }
 
+    static constexpr std::size_t max_event_bytes = std::size_t{1} << 20;
+
 private:
     void record_ids(std::string_view complete);
 
--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -31,7 +31,10 @@
 } // namespace
 
 endpoint_connection::endpoint_connection(asio::io_context& io)
-    : socket_(io), timer_(io), parser_(std::make_unique<parser>())
+    : socket_(io)
+    , timer_(io)
+    , in_(max_buffered_bytes)
+    , parser_(std::make_unique<parser>())
 {
     parser_->header_limit(max_head_bytes);
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
--- a/src/gateway/endpoint_connection.hpp
+++ b/src/gateway/endpoint_connection.hpp
@@ -60,6 +60,10 @@
     bool sent() const { return sent_; }
 
 private:
+    /// Limit of what is buffered of a response: the head, or the extension of
+    /// a chunk.
+    static constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
+
     using parser =
         boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
@@ -69,6 +73,7 @@
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
+    /// Bounded, as an endpoint in trouble may send bytes without end.
     boost::beast::flat_buffer in_;
     std::unique_ptr<parser> parser_;
     std::string out_;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -40,6 +40,9 @@
 /// an event, or after a multiple of the route's target gap if that is longer.
 constexpr msec min_stall_timeout = 1000;
 constexpr msec stall_gaps = 3;
+/// A stream that sends bytes but completes no event fails after this multiple
+/// of the time allowed without any bytes.
+constexpr msec partial_event_factor = 2;
 
 /// An attempt's time limit ends after the request's deadline, so that a passed
 /// deadline is not taken for a stalled endpoint.
@@ -53,6 +56,29 @@
     return {};
 }
 
+/// Memory of a response that is buffered, counted with that of the requests.
+class buffered_bytes
+{
+public:
+    explicit buffered_bytes(traffic_state& state) : state_(state) {}
+    ~buffered_bytes() { state_.body_bytes -= held_; }
+
+    buffered_bytes(const buffered_bytes&) = delete;
+    buffered_bytes& operator=(const buffered_bytes&) = delete;
+
+    /// Returns whether the memory limit allows it.
+    bool grow_to(std::size_t bytes)
+    {
+        state_.body_bytes += bytes - held_;
+        held_ = bytes;
+        return state_.body_bytes <= state_.body_bytes_limit;
+    }
+
+private:
+    traffic_state& state_;
+    std::size_t held_ = 0;
+};
+
 /// The endpoint's headers, without those that apply to its connection only.
 header_list client_headers(const header_list& headers)
 {
@@ -354,6 +380,7 @@
 asio::awaitable<attempt_outcome> forwarding::relay_buffered(header_list headers)
 {
     std::string body;
+    buffered_bytes held(state_);
     const bool skip_body = request_.received.method == "HEAD";
     while (!skip_body && !connection_->body_complete())
     {
@@ -361,7 +388,7 @@
             co_await connection_->read_some(body, until_deadline());
         if (result != connection_result::done)
             co_return outcome_of(result);
-        if (body.size() > max_buffered_response)
+        if (body.size() > max_buffered_response || !held.grow_to(body.size()))
             co_return attempt_outcome::broken_before_response;
     }
     const int status = connection_->status();
@@ -413,12 +440,22 @@
 {
     event_splitter splitter;
     bool announced_first = false;
+    auto progress_at = now();
     while (!connection_->body_complete())
     {
         std::string bytes;
-        const auto result =
-            co_await connection_->read_some(bytes, read_timeout());
+        const auto limit = read_timeout();
+        // Bytes that complete no event extend the time for one, but not
+        // without end.
+        const auto stalled_after =
+            progress_at + partial_event_factor * limit - now();
+        const auto result = co_await connection_->read_some(
+            bytes, std::min(limit, stalled_after));
         const auto events = splitter.feed(bytes);
+        if (splitter.is_oversized())
+            co_return attempt_outcome::broken_response;
+        if (!events.empty())
+            progress_at = now();
         if (!events.empty())
         {
             // A resumed stream must continue with the next event id.
--- a/src/node/http_client.hpp
+++ b/src/node/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,6 +36,9 @@
     /// twice: libcurl silently resends a request if the peer has closed the
     /// pooled connection. All other calls, in particular POST, open a new one.
     bool reuse_connection = false;
+    /// Limit of the head and of the body of the response; a longer one fails
+    /// the call as broken. Doesn't apply to a body that is streamed.
+    std::size_t max_response_bytes = std::size_t{8} << 20;
 };
 
 struct http_result
--- a/src/node/http_transfer.cpp
+++ b/src/node/http_transfer.cpp
@@ -215,7 +215,11 @@
     const auto bytes = size * count;
     if (!transfer.on_data_)
     {
-        transfer.result_.body.append(data, bytes);
+        // Any other return value than `bytes` aborts the transfer.
+        auto& body = transfer.result_.body;
+        if (body.size() + bytes > transfer.call_.max_response_bytes)
+            return 0;
+        body.append(data, bytes);
         return bytes;
     }
     long status = 0;
@@ -227,9 +231,12 @@
 std::size_t http_transfer::on_header(char* data, std::size_t size,
                                      std::size_t count, void* self)
 {
+    auto& transfer = *static_cast<http_transfer*>(self);
     const auto bytes = size * count;
-    static_cast<http_transfer*>(self)->parse_header_line(
-        std::string(data, bytes));
+    transfer.head_bytes_ += bytes;
+    if (transfer.head_bytes_ > transfer.call_.max_response_bytes)
+        return 0;
+    transfer.parse_header_line(std::string(data, bytes));
     return bytes;
 }
 
--- a/src/node/http_transfer.hpp
+++ b/src/node/http_transfer.hpp
@@ -66,6 +66,7 @@
     /// Set before the first byte of the request is sent.
     bool connected_ = false;
     bool headers_complete_ = false;
+    std::size_t head_bytes_ = 0;
     http_result result_;
 };
 
--- /dev/null
+++ b/tests/gateway/gateway_endless_bytes_test.cpp
@@ -0,0 +1,125 @@
+#include "gateway/one_gateway.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+#include <memory>
+#include <ostream>
+#include <vector>
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+namespace
+{
+
+/// The memory limit of the gateway's settings is 128 MB; one response may use a
+/// part of it only.
+constexpr std::size_t max_memory = std::size_t{64} << 20;
+/// Time in which an attempt at such an endpoint has to end.
+constexpr msec attempt_limit = 2500;
+
+const std::vector<endless_part> floods{endless_part::head, endless_part::body,
+                                       endless_part::chunk_extension};
+
+} // namespace
+
+namespace galenapulley::testing
+{
+std::ostream& operator<<(std::ostream& out, endless_part part)
+{
+    return out << static_cast<int>(part);
+}
+} // namespace galenapulley::testing
+
+// An endpoint in trouble sends bytes that are no response, in a head or a body,
+// until the caller closes. The request continues at another endpoint.
+BOOST_DATA_TEST_CASE_F(one_gateway, an_endless_response_is_retried_elsewhere,
+                       boost::unit_test::data::make(floods), part)
+{
+    east.set({.endless = part});
+    const auto response = gateway->call(sample_request("GET", "/i/x", "t1"));
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.complete);
+    BOOST_TEST(east.wait_for_closed(1, attempt_limit));
+    BOOST_TEST(gateway->process().peak_memory() < max_memory);
+}
+
+// A request that may not be repeated ends true: it may have run.
+BOOST_DATA_TEST_CASE_F(one_gateway, an_unsafe_request_ends_in_an_error,
+                       boost::unit_test::data::make(floods), part)
+{
+    set_both({.endless = part});
+    const boot_time_clock time;
+    const auto begin = time.now();
+    const auto response = gateway->call(sample_request("POST", "/n/x", "t1"));
+    BOOST_TEST((response.status == 502 || response.status == 504));
+    BOOST_TEST(time.now() - begin < 3500);
+    BOOST_TEST(arrivals() == 1U);
+    BOOST_TEST(gateway->process().peak_memory() < max_memory);
+}
+
+// Many callers at once must not exhaust the memory of the process.
+BOOST_FIXTURE_TEST_CASE(concurrent_endless_responses_are_bounded, one_gateway)
+{
+    set_both({.endless = endless_part::body});
+    std::vector<std::unique_ptr<wire_client>> clients;
+    for (int n = 0; n < 16; ++n)
+    {
+        clients.push_back(std::make_unique<wire_client>(gateway->traffic()));
+        clients.back()->send(
+            sample_request("POST", "/n/x", "t" + std::to_string(n)));
+    }
+    for (const auto& it : clients)
+    {
+        const auto response = it->receive();
+        BOOST_TEST(response.status >= 429);
+    }
+    BOOST_TEST(gateway->process().peak_memory() < max_memory);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endless_event_is_continued_elsewhere, one_gateway)
+{
+    east.set({.endless = endless_part::event});
+    west.set({.events = 3});
+    const auto response = gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.complete);
+    BOOST_TEST(east.wait_for_closed(1, attempt_limit));
+    BOOST_TEST(gateway->process().peak_memory() < max_memory);
+}
+
+// Guards against a stalled stream that never ends because it sends a few bytes
+// now and then: it is resumed elsewhere like a silent one.
+BOOST_FIXTURE_TEST_CASE(a_stream_of_comments_is_resumed_elsewhere, one_gateway)
+{
+    east.set({.events = 2, .endless = endless_part::comments});
+    west.set({.events = 4});
+    const boot_time_clock time;
+    const auto begin = time.now();
+    const auto response = gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(response.complete);
+    BOOST_TEST(time.now() - begin < attempt_limit);
+    BOOST_TEST(response.body.find("id: 4") != std::string::npos);
+}
+
+// A slow stream whose events arrive within their time is sound.
+BOOST_FIXTURE_TEST_CASE(a_slow_stream_is_not_cut, one_gateway)
+{
+    set_both({.events = 5, .event_pause = 500});
+    const auto response = gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(response.complete);
+    BOOST_TEST(arrivals() == 1U);
+}
+
+// The store may be in trouble as well; its copies stay in use.
+BOOST_FIXTURE_TEST_CASE(an_endless_response_of_the_store_is_bounded,
+                        one_gateway)
+{
+    store.set_mode(store_mode::endless);
+    pause_for(2000);
+    BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "t1")).status ==
+               200);
+    BOOST_TEST(gateway->process().peak_memory() < max_memory);
+    store.set_mode(store_mode::normal);
+}
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -176,6 +176,8 @@
         wait_for_close(socket);
         return false;
     }
+    if (behaviour.endless != endless_part::none && behaviour.events == 0)
+        return send_without_end(socket, request, behaviour.endless);
     if (behaviour.events > 0)
         return stream(socket, request, behaviour);
     return write_bytes(socket, head(request, behaviour.status) +
@@ -209,9 +211,45 @@
         if (behaviour.event_pause > 0)
             pause_for(behaviour.event_pause);
     }
+    if (behaviour.endless != endless_part::none)
+        return send_without_end(socket, request, behaviour.endless);
     return write_bytes(socket, "0\r\n\r\n");
 }
 
+bool endpoint_standin::send_without_end(wire_socket& socket,
+                                        const wire_request& request,
+                                        endless_part part)
+{
+    const std::string filler(8192, 'x');
+    const std::string length = "2000";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string stream_head =
+        head(request, 200) + "Content-Type: text/event-stream\r\n" + chunked;
+    const std::string comment = "2\r\n:\n\r\n";
+    struct endless_bytes
+    {
+        std::string first;
+        std::string repeated;
+        msec pause = 0;
+    };
+    const std::map<endless_part, endless_bytes> table{
+        {endless_part::head, {head(request, 200), "X-More: x\r\n"}},
+        {endless_part::body, {head(request, 200) + "\r\n", filler}},
+        {endless_part::chunk_extension,
+         {head(request, 200) + chunked + length + ";", filler}},
+        {endless_part::event, {stream_head, length + "\r\n" + filler + "\r\n"}},
+        {endless_part::comments, {"", comment, 200}}};
+    const auto& it = table.at(part);
+    bool open = write_bytes(socket, it.first);
+    while (open && write_bytes(socket, it.repeated))
+        if (it.pause > 0)
+            pause_for(it.pause);
+    const std::lock_guard lock(mutex_);
+    ++closed_;
+    changed_.notify_all();
+    return false;
+}
+
 void endpoint_standin::wait_for_close(wire_socket& socket)
 {
     char byte = 0;
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -15,6 +15,22 @@
 namespace galenapulley::testing
 {
 
+/// Where an endpoint in trouble sends bytes until the caller closes.
+enum class endless_part
+{
+    none,
+    /// Header lines.
+    head,
+    /// A body that is no stream.
+    body,
+    /// Chunk extensions.
+    chunk_extension,
+    /// A stream's event that has no end.
+    event,
+    /// Comments of a stream, a few bytes now and then.
+    comments
+};
+
 /// How an endpoint responds to requests.
 struct endpoint_behaviour
 {
@@ -34,6 +50,8 @@
     msec event_pause = 0;
     msec first_event_pause = 0;
     std::string body = "content";
+    /// With endless_part::comments after `events` events.
+    endless_part endless = endless_part::none;
     /// Refuses memory reservations.
     bool refuses_memory = false;
     /// Reads orders and sends no response.
@@ -97,6 +115,9 @@
                      const endpoint_behaviour& behaviour);
     bool stream(wire_socket& socket, const wire_request& request,
                 const endpoint_behaviour& behaviour);
+    /// Sends bytes until the peer closes the connection, and counts it.
+    bool send_without_end(wire_socket& socket, const wire_request& request,
+                          endless_part part);
     std::string head(const wire_request& request, int status) const;
     /// Waits until the peer closes the connection, and counts it.
     void wait_for_close(wire_socket& socket);
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -117,11 +117,21 @@
     return it == watchers_.end() ? 0 : it->second;
 }
 
+bool store_standin::send_without_end(wire_socket& socket)
+{
+    const std::string filler(8192, 'x');
+    bool open = write_bytes(socket, "HTTP/1.1 200 X\r\n\r\n");
+    while (open)
+        open = write_bytes(socket, filler);
+    return false;
+}
+
 bool store_standin::serve(wire_socket& socket, const wire_request& request)
 {
     const std::string target(request.target());
     const auto path = target.substr(0, target.find('?'));
     const auto query = query_of(target);
+    bool endless = false;
     {
         const std::lock_guard lock(mutex_);
         ++calls_;
@@ -129,7 +139,10 @@
             return false;
         if (mode_ == store_mode::refusing)
             return write_json(socket, 503, "{}");
+        endless = mode_ == store_mode::endless;
     }
+    if (endless)
+        return send_without_end(socket);
     if (path == "/galenapulley/rows-get")
         return write_json(socket, 200, get_rows(query));
     std::pair<int, std::string> out{404, "{}"};
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -20,7 +20,9 @@
     /// Responds 503 to every request.
     refusing,
     /// Closes every connection without a response.
-    resetting
+    resetting,
+    /// Responds with a body that has no end.
+    endless
 };
 
 /// Stand-in of the platform's store that implements its protocol.
@@ -53,6 +55,7 @@
     using row_key = std::pair<std::string, std::string>;
 
     bool serve(wire_socket& socket, const wire_request& request);
+    static bool send_without_end(wire_socket& socket);
     std::string get_rows(const std::map<std::string, std::string>& query);
     /// Status and body.
     std::pair<int, std::string>
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <csignal>
+#include <fstream>
 #include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -61,6 +62,21 @@
     return state_ && state_->child.valid() && state_->child.running();
 }
 
+std::size_t child_process::peak_memory() const
+{
+    std::ifstream status("/proc/" + std::to_string(state_->child.id()) +
+                         "/status");
+    for (std::string word; status >> word;)
+    {
+        if (word != "VmHWM:")
+            continue;
+        std::size_t kilobytes = 0;
+        status >> kilobytes;
+        return kilobytes * 1024;
+    }
+    return 0;
+}
+
 int child_process::wait(msec timeout)
 {
     const boot_time_clock time;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
     int wait(msec timeout);
     bool running();
     const std::string& address() const { return address_; }
+    /// Largest resident memory of the running process so far, in bytes.
+    std::size_t peak_memory() const;
 
 private:
     struct state;
--- a/tests/unit/event_splitter_test.cpp
+++ b/tests/unit/event_splitter_test.cpp
@@ -51,3 +51,19 @@
     RC_ASSERT(splitter.event_count() == 12U);
     RC_ASSERT(*splitter.last_id() == 12U);
 }
+
+// Guards against memory that an endpoint fills with bytes that are no events.
+BOOST_AUTO_TEST_CASE(bytes_without_end_are_noticed)
+{
+    event_splitter splitter;
+    const std::string bytes(8192, 'x');
+    std::size_t fed = 0;
+    while (!splitter.is_oversized() &&
+           fed < 4 * event_splitter::max_event_bytes)
+    {
+        BOOST_TEST(splitter.feed(bytes).empty());
+        fed += bytes.size();
+    }
+    BOOST_TEST(splitter.is_oversized());
+    BOOST_TEST(fed <= event_splitter::max_event_bytes + bytes.size());
+}
