--- a/src/galenapulley/membership.cpp
+++ b/src/galenapulley/membership.cpp
@@ -17,12 +17,6 @@
 // Interval, in ticks, of messages to a seed or dropped node. They let the
 // partitions of a fleet that dropped each other merge again.
 constexpr std::size_t non_member_interval_ticks = 3;
-// One entry in four includes zone and addresses, the others only the heartbeat.
-// With full entries only, each of 18 nodes sent 2,008 bytes per second, which
-// is the whole budget for gossip.
-constexpr std::uint64_t entries_per_full_entry = 4;
-// Number of heartbeats sent with a full own entry after the start of a node.
-constexpr std::int64_t full_heartbeats = 10;
 // A message with 4 entries propagates the heartbeats of 9 members within the
 // configured timeouts. Messages have a bounded number of entries, so heartbeats
 // spread more slowly in larger fleets and the timeouts grow with the fleet's
@@ -32,6 +26,12 @@
 // Has to exceed a partition between regions, which lasts about an hour.
 constexpr msec dropped_retention = 21'600_sec;
 constexpr std::size_t max_dropped = 1000;
+// Messages per period among core nodes. Their heartbeats have to be known all
+// over the core before the standbys ask for them.
+constexpr std::size_t core_fanout = 5;
+// Core nodes to which a standby reports, every second period.
+constexpr std::size_t standby_fanout = 2;
+constexpr msec standby_period_factor = 2;
 
 template <typename Entry>
 bool is_newer(const wire::member_entry& entry, const Entry& than)
@@ -40,52 +40,11 @@
            std::pair(than.incarnation, than.heartbeat);
 }
 
-void write_entry(const member& from, bool full, wire::member_entry& entry)
-{
-    entry.set_node(from.node);
-    entry.set_incarnation(from.incarnation);
-    entry.set_heartbeat(from.heartbeat);
-    entry.set_leaving(from.leaving);
-    if (!full)
-        return;
-    entry.set_zone(from.zone);
-    entry.set_peer_address(from.peer_address);
-    entry.set_listen_address(from.listen_address);
-}
-
 bool is_full(const wire::member_entry& entry)
 {
     return !entry.peer_address().empty();
 }
 
-/// Order in which entries are forwarded: changed members first, then the
-/// heartbeats that were forwarded least often, the newest of them first.
-bool has_priority(const member* a, const member* b)
-{
-    if (a->announcements_left != b->announcements_left)
-        return a->announcements_left > b->announcements_left;
-    if (a->times_sent != b->times_sent)
-        return a->times_sent < b->times_sent;
-    return a->heartbeat_at > b->heartbeat_at;
-}
-
-/// Visits the elements in key order from the cursor on, wrapping around at the
-/// end, until `visit` returns false. Moves the cursor to the last element for
-/// which it returned true.
-template <typename Map, typename Visit>
-void visit_from(Map& map, std::string& cursor, Visit visit)
-{
-    auto it = map.upper_bound(cursor);
-    for (std::size_t n = 0; n < map.size(); ++n, ++it)
-    {
-        if (it == map.end())
-            it = map.begin();
-        if (!visit(it->second))
-            return;
-        cursor = it->first;
-    }
-}
-
 } // namespace
 
 membership::membership(membership_options options)
@@ -97,11 +56,12 @@
 {
     if (next_tick_ && now < *next_tick_)
         return {};
-    next_tick_ = now + options_.period;
+    next_tick_ = now + tick_period();
     ++heartbeat_;
     ++ticks_;
     heartbeats_.at(static_cast<std::size_t>(heartbeat_) %
                    heartbeat_history) = {.heartbeat = heartbeat_, .at = now};
+    note_silent_core(now);
     drop_unresponsive(now);
     std::vector<outgoing> messages;
     for (const auto& address : choose_targets(now))
@@ -122,15 +82,21 @@
 {
     const bool announces = leaving_ && !leaving_announced_;
     leaving_announced_ = leaving_;
-    auto targets =
-        next_peers(announces ? leaving_fanout : options_.fanout, now);
+    auto targets = next_peers(announces ? leaving_fanout : fanout(), now);
     const auto non_members = non_member_addresses();
     if (non_members.empty())
         return targets;
-    const std::size_t wanted =
-        targets.size() < options_.fanout
-            ? options_.fanout - targets.size()
-            : (ticks_ % non_member_interval_ticks == 0 ? 1 : 0);
+    // Only contacts between core nodes merge the cores of two partitions, so a
+    // standby that knows core nodes leaves the others to them.
+    const bool contacts_one = core_.empty()
+                                  ? ticks_ % non_member_interval_ticks == 0
+                                  : core_.contains(options_.node);
+    const std::size_t wanted = targets.size() < fanout()
+                                   ? fanout() - targets.size()
+                                   : (contacts_one ? 1 : 0);
+    // Nodes that start together must not all contact the same addresses.
+    if (!core_.empty())
+        non_member_cursor_ = random();
     for (std::size_t n = 0; n < std::min(wanted, non_members.size()); ++n)
         targets.push_back(
             non_members[non_member_cursor_++ % non_members.size()]);
@@ -144,7 +110,7 @@
     // peers only, 4 of 30,600 checks in a fleet of 18 suspected a live node.
     const member* oldest = nullptr;
     for (const auto& [node, it] : members_)
-        if (!is_suspected(it, now) &&
+        if (is_core(node) && !is_suspected(it, now) &&
             (oldest == nullptr || it.heartbeat_at < oldest->heartbeat_at))
             oldest = &it;
     if (oldest != nullptr)
@@ -158,7 +124,8 @@
             if (std::exchange(refilled, true))
                 break;
             for (const auto& [node, it] : members_)
-                peer_order_.push_back(node);
+                if (is_core(node))
+                    peer_order_.push_back(node);
             for (std::size_t k = peer_order_.size(); k > 1; --k)
                 std::swap(peer_order_[k - 1], peer_order_[random() % k]);
             continue;
@@ -205,7 +172,13 @@
     update_last_contact(from, message);
     if (message.is_reply() && !refute)
         return nullptr;
-    auto reply = make_message(find(from), options_.max_reply_entries, now);
+    const auto* const to = find(from);
+    const bool is_new = to != nullptr && to->heartbeat <= full_heartbeats;
+    auto reply =
+        make_message(to,
+                     is_new && !core_.empty() ? options_.max_entries
+                                              : options_.max_reply_entries,
+                     now);
     reply->set_is_reply(true);
     return reply;
 }
@@ -235,13 +208,16 @@
         it.zone = entry.zone();
         it.peer_address = entry.peer_address();
         it.listen_address = entry.listen_address();
+        it.capacity = entry.capacity();
     }
     it.node = entry.node();
     it.incarnation = entry.incarnation();
     it.heartbeat = entry.heartbeat();
     it.leaving = entry.leaving();
+    it.request_rate = entry.request_rate() * request_rate_unit;
     it.heartbeat_at = now;
     it.times_sent = 0;
+    it.silent_in_core = false;
 }
 
 bool membership::restore_dropped(const wire::member_entry& entry)
@@ -304,6 +280,40 @@
                 std::max(it->second.last_contact.value_or(*proven), *proven);
 }
 
+void membership::set_core(std::set<std::string> nodes, msec now)
+{
+    if (nodes == core_)
+        return;
+    for (auto& [node, it] : members_)
+        if (nodes.contains(node) && !core_.contains(node))
+            it.core_since = now;
+    core_ = std::move(nodes);
+    peer_order_.clear();
+    for (auto& [node, it] : members_)
+        it.announcements_left =
+            std::min(it.announcements_left, announcement_budget());
+}
+
+msec membership::tick_period() const
+{
+    return is_core(options_.node) ? options_.period
+                                  : standby_period_factor * options_.period;
+}
+
+std::size_t membership::fanout() const
+{
+    if (core_.empty())
+        return options_.fanout;
+    return is_core(options_.node) ? core_fanout : standby_fanout;
+}
+
+void membership::note_silent_core(msec now)
+{
+    for (auto& [node, it] : members_)
+        if (core_.contains(node) && is_suspected(it, now))
+            it.silent_in_core = true;
+}
+
 void membership::drop_unresponsive(msec now)
 {
     for (auto it = members_.begin(); it != members_.end();)
@@ -330,117 +340,6 @@
                              { return a.second.since < b.second.since; }));
 }
 
-std::shared_ptr<wire::gossip>
-membership::make_message(const member* to, std::size_t entries, msec now)
-{
-    auto message = std::make_shared<wire::gossip>();
-    message->set_store_read_age_ms(-1);
-    add_own_entry(*message, to);
-    // Quoting the receiver's heartbeat gives it a lower bound of the time at
-    // which the message was created, whatever the network delay.
-    if (to != nullptr)
-        write_entry(*to, false, *message->add_members());
-    add_members(*message, to, entries, now);
-    add_shard_owners(*message, to);
-    if (fill_payload_)
-        fill_payload_(*message, options_.max_crash_reports);
-    return message;
-}
-
-void membership::add_own_entry(wire::gossip& message, const member* to)
-{
-    write_entry(
-        {.node = options_.node,
-         .zone = options_.zone,
-         .peer_address = options_.peer_address,
-         .listen_address = serving_ ? options_.listen_address : std::string(),
-         .incarnation = options_.incarnation,
-         .heartbeat = heartbeat_,
-         .leaving = leaving_,
-         .last_contact = std::nullopt},
-        leaving_ ||
-            heartbeat_ <= std::max(full_heartbeats, full_until_heartbeat_) ||
-            wants_full_entry(to),
-        *message.add_members());
-}
-
-bool membership::wants_full_entry(const member* to)
-{
-    return to == nullptr || to->announcements_left > 0 ||
-           random() % entries_per_full_entry == 0;
-}
-
-void membership::add_members(wire::gossip& message, const member* to,
-                             std::size_t entries, msec now)
-{
-    std::vector<member*> chosen;
-    const auto space =
-        entries - std::min<std::size_t>(entries, static_cast<std::size_t>(
-                                                     message.members_size()));
-    // Entries of suspected nodes are not forwarded: they would restore the
-    // nodes at receivers that have already dropped them.
-    const auto usable = [&](const member& it)
-    {
-        return &it != to && !is_suspected(it, now);
-    };
-    for (auto& [node, it] : members_)
-        if (usable(it))
-            chosen.push_back(&it);
-    const auto count = std::min(chosen.size(), space);
-    std::partial_sort(chosen.begin(),
-                      chosen.begin() + static_cast<std::ptrdiff_t>(count),
-                      chosen.end(), has_priority);
-    chosen.resize(count);
-    for (auto* it : chosen)
-    {
-        write_entry(*it, it->announcements_left > 0 || wants_full_entry(to),
-                    *message.add_members());
-        it->announcements_left -=
-            std::min<std::size_t>(it->announcements_left, 1);
-        ++it->times_sent;
-    }
-}
-
-void membership::add_shard_owners(wire::gossip& message, const member* to)
-{
-    const auto add = [&](const shard_owner& it)
-    {
-        auto* entry = message.add_shard_owners();
-        entry->set_shard(it.shard);
-        entry->set_node(it.node);
-        entry->set_epoch(it.epoch);
-    };
-    const auto space = [&]
-    {
-        return options_.max_shard_owners >
-               static_cast<std::size_t>(message.shard_owners_size());
-    };
-    // Owners are repeated only to make up for lost messages. With eight of
-    // them in every message, owners were a third of the gossip traffic.
-    const bool is_new = to == nullptr || to->announcements_left > 0;
-    const std::size_t repeated =
-        is_new ? options_.max_shard_owners : options_.repeated_shard_owners;
-    std::set<const owner_record*> sent;
-    for (auto& [shard, it] : owners_)
-    {
-        if (it.announcements_left == 0 || !space())
-            continue;
-        --it.announcements_left;
-        sent.insert(&it);
-        add(it.owner);
-    }
-    visit_from(owners_, owner_cursor_,
-               [&](owner_record& it)
-               {
-                   if (!space() || static_cast<std::size_t>(
-                                       message.shard_owners_size()) >= repeated)
-                       return false;
-                   if (sent.count(&it) == 0)
-                       add(it.owner);
-                   return true;
-               });
-}
-
 msec membership::time_scale() const
 {
     const auto unscaled_members =
@@ -453,7 +352,9 @@
 {
     // A message sent a small multiple of log2(fleet size) times reaches every
     // node with high probability.
-    return 3 * std::bit_width(members_.size() + 1);
+    // With a core, only the core has to be reached.
+    const auto receivers = core_.empty() ? members_.size() : core_.size();
+    return 3 * std::bit_width(receivers + 1);
 }
 
 std::uint64_t membership::random()
--- a/src/galenapulley/membership.hpp
+++ b/src/galenapulley/membership.hpp
@@ -28,6 +28,8 @@
     std::string zone;
     std::string peer_address;
     std::string listen_address;
+    /// Processor capacity in thousandths of a core.
+    std::uint32_t capacity = 0;
     /// Start time of the process, milliseconds since the epoch.
     std::int64_t incarnation = 0;
     /// Peer addresses to contact before any member is known.
@@ -36,6 +38,8 @@
     std::size_t fanout = 3;
     std::size_t max_entries = 8;
     std::size_t max_reply_entries = 4;
+    /// With a core, entries of other nodes in a message, besides the core's.
+    std::size_t max_standby_entries = 24;
     /// Applies to up to 35 members at the default max_entries; larger fleets
     /// scale it, see time_scale().
     msec suspect_after = 5000;
@@ -56,6 +60,9 @@
     std::string zone;
     std::string peer_address;
     std::string listen_address;
+    std::uint32_t capacity = 0;
+    /// Client requests per second that it receives.
+    double request_rate = 0;
     std::int64_t incarnation = 0;
     std::int64_t heartbeat = 0;
     bool leaving = false;
@@ -71,6 +78,11 @@
     std::size_t announcements_left = 0;
     /// Number of messages sent with the newest heartbeat.
     std::size_t times_sent = 0;
+    /// When it became a core node.
+    msec core_since = 0;
+    /// It was silent for too long as a core node; it is suspected until its
+    /// next heartbeat, as a standby too.
+    bool silent_in_core = false;
 };
 
 struct shard_owner
@@ -86,10 +98,16 @@
     std::string node;
     std::string zone;
     std::string address;
+    std::uint32_t capacity = 0;
+
+    bool operator==(const listed_node&) const = default;
 };
 
 /// Gossip-based membership: tracks which nodes are alive and which node owns
-/// each shard.
+/// each shard. All nodes gossip with each other, or, if a core is set, the core
+/// nodes do; the other nodes then report to core nodes and learn the state of
+/// the core from the replies, which keeps their messages small in a large
+/// fleet.
 class membership
 {
 public:
@@ -129,6 +147,10 @@
     /// A node that can't serve yet gossips without its listen address, so that
     /// no node includes it in list_nodes(). The initial state is serving.
     void set_serving(bool serving);
+    /// Sets the core; empty if all nodes gossip with each other.
+    void set_core(std::set<std::string> nodes, msec now);
+    /// Sets the number of requests per second that this node announces.
+    void set_request_rate(double per_second) { request_rate_ = per_second; }
     /// Adds a peer address to contact, such as one read from a `nodes/` row.
     void add_seed(const std::string& peer_address);
 
@@ -136,6 +158,9 @@
     const std::map<std::string, member>& members() const { return members_; }
     const member* find(const std::string& node) const;
     bool is_suspected(const member& it, msec now) const;
+    /// Whether a heartbeat arrived so recently that clients may be sent to the
+    /// node.
+    bool is_fresh(const member& it, msec now) const;
     /// Members that are neither suspected nor leaving.
     std::vector<const member*> live_members(msec now) const;
 
@@ -180,6 +205,11 @@
     /// Number of own heartbeats whose times are kept. At one heartbeat per
     /// second they cover 64 s, longer than every window in use.
     static constexpr std::size_t heartbeat_history = 64;
+    /// Number of heartbeats sent with a full own entry after the start of a
+    /// node.
+    static constexpr std::int64_t full_heartbeats = 10;
+    /// Unit of request rates in messages, in requests per second.
+    static constexpr double request_rate_unit = 0.1;
 
     void merge(const wire::member_entry& entry, msec now);
     /// Restores a dropped member if the entry is newer than its last one.
@@ -190,8 +220,16 @@
     bool check_own_entry(const wire::member_entry& entry);
     void update_last_contact(const std::string& from,
                              const wire::gossip& message);
+    void note_silent_core(msec now);
     void drop_unresponsive(msec now);
+    bool is_core(const std::string& node) const
+    {
+        return core_.empty() || core_.contains(node);
+    }
     void expire_dropped(msec now);
+    msec tick_period() const;
+    /// Messages per period.
+    std::size_t fanout() const;
     std::vector<std::string> choose_targets(msec now);
     std::vector<std::string> next_peers(std::size_t n, msec now);
     std::vector<std::string> non_member_addresses() const;
@@ -202,6 +240,9 @@
     bool wants_full_entry(const member* to);
     void add_members(wire::gossip& message, const member* to,
                      std::size_t entries, msec now);
+    /// Members other than `to`, in the order in which they are forwarded.
+    std::vector<member*> members_to_forward(const member* to,
+                                            std::size_t entries, msec now);
     void add_shard_owners(wire::gossip& message, const member* to);
     std::size_t announcement_budget() const;
     /// Factor applied to suspect_after and drop_after in large fleets.
@@ -212,6 +253,8 @@
     std::uint64_t random_;
     payload_callback fill_payload_;
     std::map<std::string, member> members_;
+    std::set<std::string> core_;
+    double request_rate_ = 0;
     std::map<std::string, dropped_member> dropped_;
     std::map<std::string, owner_record> owners_;
     std::array<heartbeat_time, heartbeat_history> heartbeats_{};
--- a/src/galenapulley/membership_view.cpp
+++ b/src/galenapulley/membership_view.cpp
@@ -5,6 +5,14 @@
 namespace galenapulley
 {
 
+namespace
+{
+
+// Nothing depends on the early detection of a lost standby.
+constexpr msec standby_suspect_factor = 5;
+
+} // namespace
+
 const member* membership::find(const std::string& node) const
 {
     const auto it = members_.find(node);
@@ -13,7 +21,20 @@
 
 bool membership::is_suspected(const member& it, msec now) const
 {
-    return now - it.heartbeat_at > options_.suspect_after * time_scale();
+    if (core_.empty())
+        return now - it.heartbeat_at > options_.suspect_after * time_scale();
+    if (!core_.contains(it.node))
+        return it.silent_in_core ||
+               now - it.heartbeat_at >
+                   standby_suspect_factor * options_.suspect_after;
+    const auto since = std::max(it.heartbeat_at, it.core_since);
+    return it.silent_in_core || now - since > options_.suspect_after;
+}
+
+bool membership::is_fresh(const member& it, msec now) const
+{
+    return !it.leaving && !is_suspected(it, now) &&
+           now - it.heartbeat_at <= options_.suspect_after;
 }
 
 std::vector<const member*> membership::live_members(msec now) const
--- a/src/galenapulley/relay_role.cpp
+++ b/src/galenapulley/relay_role.cpp
@@ -1,37 +1,25 @@
 #include "galenapulley/relay_role.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace galenapulley
 {
 
-namespace
-{
-
-/// Position of a node in an order that is the same on all nodes.
-std::uint64_t rank_of(const std::string& node)
-{
-    return XXH64(node.data(), node.size(), 0);
-}
-
-} // namespace
-
-relay_role::relay_role(std::string node) : node_(std::move(node)) {}
+relay_role::relay_role(ranked_node self) : self_(std::move(self)) {}
 
-void relay_role::set_domain_nodes(const std::vector<std::string>& nodes)
+void relay_role::set_domain_nodes(const std::vector<ranked_node>& nodes)
 {
-    const auto own = rank_of(node_);
     const auto before = std::count_if(nodes.begin(), nodes.end(),
-                                      [own](const std::string& it)
-                                      { return rank_of(it) < own; });
+                                      [this](const ranked_node& it)
+                                      { return ranks_before(it, self_); });
     is_relay_ = static_cast<std::size_t>(before) < relays_per_domain;
     std::erase_if(last_heartbeat_at_,
-                  [&nodes](const auto& it) {
-                      return std::find(nodes.begin(), nodes.end(), it.first) ==
-                             nodes.end();
+                  [&nodes](const auto& heard)
+                  {
+                      return std::none_of(nodes.begin(), nodes.end(),
+                                          [&heard](const ranked_node& it)
+                                          { return it.node == heard.first; });
                   });
 }
 
@@ -42,6 +30,8 @@
 
 bool relay_role::must_watch(msec now) const
 {
+    if (settling_since_ && now - *settling_since_ < settling_time)
+        return false;
     return is_relay_ ||
            std::none_of(last_heartbeat_at_.begin(), last_heartbeat_at_.end(),
                         [now](const auto& it)
--- a/src/galenapulley/relay_role.hpp
+++ b/src/galenapulley/relay_role.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "galenapulley/clock.hpp"
+#include "galenapulley/node_rank.hpp"
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,17 +13,21 @@
 {
 
 /// Decides whether this node is a relay node of its failure domain, and whether
-/// it watches the store itself. Relay nodes watch the store and forward its
-/// changes; the other nodes watch it only while they receive heartbeats of no
-/// relay node. This keeps the number of store requests per change small in a
-/// large cluster.
+/// it watches the store itself. The strongest nodes of a failure domain are its
+/// relay nodes, as rows for all the others pass their network links. They watch
+/// the store and forward its changes; the other nodes watch it only while they
+/// receive heartbeats of no relay node. This keeps the number of store requests
+/// per change small in a large cluster.
 class relay_role
 {
 public:
-    explicit relay_role(std::string node);
+    explicit relay_role(ranked_node self);
+
+    /// All nodes of the fleet start now and don't know each other yet.
+    void settle(msec now) { settling_since_ = now; }
 
     /// Sets the live nodes of the own failure domain, without this one.
-    void set_domain_nodes(const std::vector<std::string>& nodes);
+    void set_domain_nodes(const std::vector<ranked_node>& nodes);
     /// A node has announced that it watches the store and gets responses.
     void on_heartbeat(const std::string& node, msec now);
 
@@ -39,10 +45,15 @@
     /// three heartbeats, and short compared with the time within which changes
     /// have to take effect.
     static constexpr msec heartbeat_timeout = 900;
+    /// Time from the start of the fleet within which its nodes learn of each
+    /// other and relay nodes send heartbeats. Until then no node watches the
+    /// store: all of them would get every registration of an endpoint from it.
+    static constexpr msec settling_time = 1500;
 
 private:
-    std::string node_;
+    ranked_node self_;
     bool is_relay_ = true;
+    std::optional<msec> settling_since_;
     std::map<std::string, msec> last_heartbeat_at_;
 };
 
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -31,12 +31,13 @@
 namespace
 {
 
+/// HTTP/1.1, as Boost.Beast numbers it.
+constexpr unsigned chunked_since_version = 11;
 constexpr std::size_t read_bytes = std::size_t{16} * 1024;
 /// Limit of the input buffer while a request is served (pipelining).
 constexpr std::size_t max_pipelined_bytes = std::size_t{256} * 1024;
 /// Time for a body to arrive after its head.
 constexpr msec body_timeout = 10'000;
-constexpr std::size_t max_listed_nodes = 64;
 /// Path on the metrics address that returns the gauges as JSON; every other
 /// path returns the metrics.
 constexpr std::string_view status_path = "/status";
@@ -253,6 +254,7 @@
     out.method = std::string(message.method_string());
     out.target = std::string(message.target());
     out.received_at = received_at;
+    out.http_version = message.version();
     out.keep_alive = message.keep_alive();
     for (const auto& it : message)
     {
@@ -305,6 +307,10 @@
                           "no route for this host and path");
     admitted_request out{.table = state_.routing,
                          .matched_route = matched_route};
+    // Without chunks the client couldn't tell that a stream broke off.
+    if (request.http_version < chunked_since_version &&
+        matched_route->kind == request_kind::streaming)
+        return make_error(error_kind::bad_request, "streams require HTTP/1.1");
     out.priority = matched_route->priority;
     if (out.table->has_accounts() && !matched_route->open_access)
     {
@@ -425,8 +431,8 @@
 {
     const auto query = state_.format.read_directory_query(request.target);
     std::vector<std::string> addresses;
-    for (const auto& it : state_.nodes)
-        if (query && addresses.size() < max_listed_nodes)
+    if (query)
+        for (const auto& it : state_.directory.choose(state_.nodes))
             addresses.push_back(it.address);
     const int status = !query ? 404 : addresses.empty() ? 503 : 200;
     std::string body = "{}";
--- a/src/gateway/client_request.hpp
+++ b/src/gateway/client_request.hpp
@@ -20,6 +20,8 @@
     std::string host;
     header_list headers;
     std::string body;
+    /// 10 for HTTP/1.0, 11 for HTTP/1.1.
+    unsigned http_version = 11;
     bool keep_alive = true;
     /// When its first bytes were read.
     msec received_at = 0;
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -19,9 +19,9 @@
     return static_cast<std::size_t>(table);
 }
 
-/// Endpoint rows are small and change often. A configuration may be large, and
-/// relaying it to a whole failure domain would saturate a node's network link.
-constexpr cluster_table relayed_table = cluster_table::endpoints;
+/// The table whose changes relay nodes send along. A configuration may be large
+/// and changes seldom, so nodes pull it once they know that there is a new one.
+constexpr cluster_table pushed_table = cluster_table::endpoints;
 
 std::string joined(const std::set<std::string>& names)
 {
@@ -33,7 +33,7 @@
 
 } // namespace
 
-cluster_view::cluster_view(std::string node, control_loop& loop,
+cluster_view::cluster_view(ranked_node self, control_loop& loop,
                            row_store& store, const row_codec& codec,
                            peer_link& link, event_log& log, callbacks on_change)
     : loop_(loop)
@@ -42,101 +42,130 @@
     , link_(link)
     , log_(log)
     , on_change_(std::move(on_change))
-    , relay_role_(std::move(node))
+    , relay_role_(std::move(self))
 {
 }
 
-void cluster_view::start()
+void cluster_view::start(bool is_bootstrap)
 {
     reached_since_ = loop_.now();
+    if (is_bootstrap)
+        relay_role_.settle(loop_.now());
     query_store(cluster_table::operations);
     query_store(cluster_table::endpoints);
     loop_.call_every(relay_role::heartbeat_period, [this] { check_relays(); });
 }
 
-void cluster_view::set_domain_nodes(std::map<std::string, std::string> nodes)
+void cluster_view::set_domain_nodes(std::vector<domain_node> nodes)
 {
     if (nodes == domain_nodes_)
         return;
     domain_nodes_ = std::move(nodes);
-    std::vector<std::string> names;
-    for (const auto& [node, address] : domain_nodes_)
-        names.push_back(node);
-    relay_role_.set_domain_nodes(names);
+    std::vector<ranked_node> ranks;
+    ranks.reserve(domain_nodes_.size());
+    for (const auto& it : domain_nodes_)
+        ranks.push_back(it.rank);
+    relay_role_.set_domain_nodes(ranks);
 }
 
 void cluster_view::check_relays()
 {
     if (relay_role_.is_relay() && store_reached())
         send_relay(make_heartbeat());
-    if (state(relayed_table).relies_on_relays &&
-        relay_role_.must_watch(loop_.now()))
-        query_store(relayed_table);
+    if (!relay_role_.must_watch(loop_.now()))
+        return;
+    for (const auto table :
+         {cluster_table::operations, cluster_table::endpoints})
+        if (state(table).relies_on_relays)
+            query_store(table);
 }
 
 wire::rows_relay cluster_view::make_heartbeat() const
 {
     wire::rows_relay message;
-    message.set_newest(state(relayed_table).rows.last_change());
+    message.set_newest(state(cluster_table::endpoints).rows.last_change());
+    message.set_newest_operations(
+        state(cluster_table::operations).rows.last_change());
     message.set_dependable(is_authoritative());
     return message;
 }
 
 void cluster_view::send_relay(const wire::rows_relay& message)
 {
-    for (const auto& [node, address] : domain_nodes_)
+    for (const auto& it : domain_nodes_)
     {
         wire::peer_message out;
         *out.mutable_rows_relay() = message;
-        link_.send(address, std::move(out));
+        link_.send(it.peer_address, std::move(out));
     }
 }
 
+void cluster_view::relay(cluster_table table, std::uint64_t after,
+                         const row_batch& batch)
+{
+    if (!relay_role_.is_relay() || batch.rows.empty())
+        return;
+    if (table == pushed_table)
+        relay_changes(after, batch);
+    else
+        send_relay(make_heartbeat());
+}
+
 void cluster_view::relay_changes(std::uint64_t after, const row_batch& batch)
 {
     auto message = make_heartbeat();
     message.set_after(after);
     message.set_version(batch.version);
-    auto last_change = after;
     for (const auto& it : batch.rows)
     {
-        last_change = std::max(last_change, it.version);
         auto& entry = *message.add_rows();
         entry.set_key(it.key);
         entry.set_value(it.value);
         entry.set_version(it.version);
         entry.set_deleted(it.deleted);
     }
-    message.set_newest(last_change);
     send_relay(message);
 }
 
+void cluster_view::apply_relayed(const wire::rows_relay& message)
+{
+    auto& it = state(pushed_table);
+    row_batch batch{.version = message.version()};
+    for (const auto& entry : message.rows())
+        batch.rows.push_back({.key = entry.key(),
+                              .value = entry.value(),
+                              .version = entry.version(),
+                              .deleted = entry.deleted()});
+    const auto before = it.rows.last_change();
+    if (it.rows.apply(batch.rows, message.after(), batch.version) &&
+        it.rows.last_change() > before)
+        publish(pushed_table, message.dependable());
+}
+
 void cluster_view::on_relay(const std::string& node,
                             const wire::rows_relay& message)
 {
-    const auto sender = domain_nodes_.find(node);
-    if (sender == domain_nodes_.end())
+    const auto sender = std::find_if(domain_nodes_.begin(), domain_nodes_.end(),
+                                     [&node](const domain_node& it)
+                                     { return it.rank.node == node; });
+    // A relay of an earlier build doesn't follow the operations, so this node
+    // watches the store itself.
+    if (sender == domain_nodes_.end() || message.newest_operations() == 0)
         return;
     relay_role_.on_heartbeat(node, loop_.now());
-    auto& it = state(relayed_table);
     if (message.version() > 0)
+        apply_relayed(message);
+    const std::array<std::uint64_t, cluster_table_count> newest{
+        message.newest_operations(), message.newest()};
+    for (std::size_t n = 0; n < newest.size(); ++n)
     {
-        row_batch batch{.version = message.version()};
-        for (const auto& entry : message.rows())
-            batch.rows.push_back({.key = entry.key(),
-                                  .value = entry.value(),
-                                  .version = entry.version(),
-                                  .deleted = entry.deleted()});
-        const auto before = it.rows.last_change();
-        if (it.rows.apply(batch.rows, message.after(), batch.version) &&
-            it.rows.last_change() > before)
-            publish(relayed_table, message.dependable());
+        auto& it = tables_[n];
+        if (!it.relies_on_relays)
+            continue;
+        it.last_response_at = loop_.now();
+        if (newest[n] > it.rows.last_change())
+            pull(n, sender->peer_address);
     }
-    if (!it.relies_on_relays)
-        return;
-    it.last_response_at = loop_.now();
-    if (message.newest() > it.rows.last_change())
-        pull(index_of(relayed_table), sender->second);
 }
 
 cluster_view::table_state& cluster_view::state(cluster_table table)
@@ -174,8 +203,7 @@
                     { handle_response(table, 0, std::move(response)); });
         return;
     }
-    if (table == relayed_table && it.failures == 0 &&
-        !relay_role_.must_watch(loop_.now()))
+    if (it.failures == 0 && !relay_role_.must_watch(loop_.now()))
     {
         it.relies_on_relays = true;
         return;
@@ -205,14 +233,17 @@
     on_store_response(table);
     const bool lost = response->history_lost;
     const auto last_change = it.rows.last_change();
-    if (table == relayed_table && !lost && after > 0 &&
-        !response->rows.empty() && relay_role_.is_relay())
-        relay_changes(last_change, *response);
-    const bool current = !lost && apply(table, after, *std::move(response));
+    const auto batch = *std::move(response);
+    const bool current = !lost && apply(table, after, batch);
+    // The versions in the message include the change.
+    if (current && after > 0)
+        relay(table, last_change, batch);
     it.needs_read = !current;
     // A read may return an older state than the known one; it is retried.
-    loop_.call_after(current ? 0 : min_retry_pause,
-                     [this, table] { query_store(table); });
+    const auto pause = !current                ? min_retry_pause
+                       : table == pushed_table ? change_pause
+                                               : 0_ms;
+    loop_.call_after(pause, [this, table] { query_store(table); });
 }
 
 bool cluster_view::apply(cluster_table table, std::uint64_t after,
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -3,6 +3,7 @@
 #include "galenapulley/clock.hpp"
 #include "galenapulley/cluster_rows.hpp"
 #include "galenapulley/endpoint.hpp"
+#include "galenapulley/node_rank.hpp"
 #include "galenapulley/peer_link.hpp"
 #include "galenapulley/relay_role.hpp"
 #include "galenapulley/routing_table.hpp"
@@ -31,6 +32,15 @@
 class rows_relay;
 } // namespace wire
 
+/// A live node of the same failure domain.
+struct domain_node
+{
+    ranked_node rank;
+    std::string peer_address;
+
+    bool operator==(const domain_node&) const = default;
+};
+
 /// Local copy of the store's tables. Follows them with watches or through relay
 /// nodes, pulls rows from peers that have newer ones, and reports the decoded
 /// content. Used on the control thread.
@@ -47,13 +57,14 @@
             endpoints;
     };
 
-    cluster_view(std::string node, control_loop& loop, row_store& store,
+    cluster_view(ranked_node self, control_loop& loop, row_store& store,
                  const row_codec& codec, peer_link& link, event_log& log,
                  callbacks on_change);
 
-    void start();
-    /// Peer addresses of the other live nodes of this failure domain, by node.
-    void set_domain_nodes(std::map<std::string, std::string> nodes);
+    /// `is_bootstrap`: all nodes of the fleet start now.
+    void start(bool is_bootstrap);
+    /// Sets the other live nodes of this failure domain.
+    void set_domain_nodes(std::vector<domain_node> nodes);
 
     /// Adds the versions of this node's tables to a gossip message.
     void add_versions(wire::gossip& message) const;
@@ -80,6 +91,8 @@
     /// Time after which a watch without a change returns and is renewed.
     static constexpr msec watch_wait = 20'000;
     static constexpr msec probe_wait = 1;
+    /// Pause between two watches of the endpoints, which often change together.
+    static constexpr msec change_pause = 50;
     static constexpr msec min_retry_pause = 200;
     static constexpr msec max_retry_pause = 1000;
     /// Time that a peer may be ahead before its rows are pulled. This node's
@@ -110,9 +123,13 @@
     /// again if no relay node is heard.
     void check_relays();
     void send_relay(const wire::rows_relay& message);
-    /// Sends the rows that a watch of the relayed table returned.
+    /// Announces what a watch returned: the rows of the endpoints, and of the
+    /// operations, which may be large, only the version.
+    void relay(cluster_table table, std::uint64_t after,
+               const row_batch& batch);
     void relay_changes(std::uint64_t after, const row_batch& batch);
     wire::rows_relay make_heartbeat() const;
+    void apply_relayed(const wire::rows_relay& message);
     void pull(std::size_t table, const std::string& peer_address);
     void pull_if_behind(std::size_t table, std::uint64_t last_change,
                         const std::string& peer_address);
@@ -132,7 +149,7 @@
     event_log& log_;
     callbacks on_change_;
     relay_role relay_role_;
-    std::map<std::string, std::string> domain_nodes_;
+    std::vector<domain_node> domain_nodes_;
     std::array<table_state, cluster_table_count> tables_;
     /// Consecutive failed requests to the store, over both tables.
     std::uint32_t failures_ = 0;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -113,7 +113,10 @@
     }
     auto& budget = budget_of(item.service);
     if (!item.is_retry)
+    {
         budget.on_request(now);
+        rate_.on_request(now);
+    }
     else if (!budget.take_retry(now))
     {
         refuse(item,
@@ -140,6 +143,7 @@
                 .min_service_time = static_cast<msec>(min_service_ms)});
     waiting_.emplace(id, waiting_request{std::move(item), std::move(done)});
     place_waiting();
+    wake_();
     const auto it = waiting_.find(id);
     if (it != waiting_.end())
         log_.write(log_event::queued,
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "galenapulley/fleet_load.hpp"
 #include "galenapulley/placement_queue.hpp"
 #include "galenapulley/prompt_placement.hpp"
+#include "galenapulley/rate_meter.hpp"
 #include "galenapulley/retry_budget.hpp"
 #include "gateway/dispatch_request.hpp"
 
@@ -48,12 +49,15 @@
 
     dispatcher(dispatcher_options options, const clock& time, event_log& log);
 
-    /// The callback sends an update to all live nodes.
+    /// The callback sends an update to the other nodes that place requests.
     void set_announce(announce_callback fn) { announce_ = std::move(fn); }
     void set_crash_announce(crash_callback fn)
     {
         announce_crash_ = std::move(fn);
     }
+    /// The callback is invoked when a request begins to wait and tick() has to
+    /// be called periodically.
+    void set_wake(std::function<void()> fn) { wake_ = std::move(fn); }
 
     void request(dispatch_request item, result_callback done);
     /// Removes a waiting request whose client has disconnected or whose
@@ -67,9 +71,13 @@
     /// Retries the placement of waiting requests and refuses those that can no
     /// longer be served in time.
     void tick();
-    /// Announces all work of this node, which replaces what the other nodes
-    /// know of it.
-    void announce_all();
+    /// All work of this node, which replaces what the other nodes know of it.
+    wire::work_update all_work() const;
+    /// Forgets the work of nodes that have stopped announcing it, as they do
+    /// when they leave the serving set.
+    void drop_silent_nodes();
+    /// Client requests per second that this node receives.
+    double request_rate() const { return rate_.value(clock_.now()); }
 
     void set_endpoints(const std::vector<endpoint>& entries,
                        bool authoritative);
@@ -139,6 +147,11 @@
     event_log& log_;
     announce_callback announce_;
     crash_callback announce_crash_;
+    std::function<void()> wake_ = [] {
+    };
+    rate_meter rate_;
+    /// When each node last announced work.
+    std::map<std::string, msec> heard_at_;
     endpoint_registry registry_;
     fleet_load load_;
     placement_queue queue_;
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/event_log.hpp"
 #include "gateway/work_message.hpp"
+#include "peer.pb.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,6 +18,9 @@
 /// Share of the cluster's retry allowance that a node uses. The rest covers
 /// retries that several nodes start before they learn of each other's.
 constexpr double allowance_share = 0.7;
+/// Time without announcements after which a node's work is forgotten. Nodes
+/// with work announce it every two seconds.
+constexpr msec silence_limit = 6500;
 
 } // namespace
 
@@ -60,14 +64,28 @@
          {"until_ms", known.peers_avoid_until - now}});
 }
 
-void dispatcher::announce_all()
+wire::work_update dispatcher::all_work() const
 {
     wire::work_update update;
     update.set_complete(true);
     const auto now = clock_.now();
     for (const auto* const it : load_.work_of(options_.node))
         write_entry(*it, now, *update.add_placed());
-    announce_(update);
+    return update;
+}
+
+void dispatcher::drop_silent_nodes()
+{
+    const auto oldest = clock_.now() - silence_limit;
+    std::vector<std::string> silent;
+    for (const auto& [node, at] : heard_at_)
+        if (at < oldest)
+            silent.push_back(node);
+    for (const auto& it : silent)
+    {
+        heard_at_.erase(it);
+        on_node_lost(it);
+    }
 }
 
 void dispatcher::set_endpoints(const std::vector<endpoint>& entries,
@@ -96,6 +114,7 @@
                            const wire::work_update& message)
 {
     const auto now = clock_.now();
+    heard_at_[node] = now;
     std::vector<placed_work> placed;
     for (const auto& it : message.placed())
     {
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -44,6 +44,7 @@
     {store_regained, "store_regained", info},
     {peer_gained, "peer_gained", info},
     {peer_lost, "peer_lost", warn},
+    {serving_set, "serving_set", info},
     {crash_reported, "strike", warn},
     {endpoint_avoided, "endpoint_avoided", warn},
     {request_read, "request_read", debug},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -37,6 +37,7 @@
     store_regained,
     peer_gained,
     peer_lost,
+    serving_set,
     crash_reported,
     endpoint_avoided,
     request_read,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,13 +24,17 @@
 /// suspect_after, and clients must not be sent to a node that ended 7 s ago;
 /// 128 entries keep suspect_after at 3 s for up to 575 nodes.
 constexpr std::size_t gossip_entries = 128;
-constexpr msec members_period = 250;
+constexpr msec members_period = 500;
 constexpr msec tick_period = 20;
-constexpr msec flush_period = 200;
+constexpr msec flush_period = 500;
 constexpr msec announce_all_period = 2000;
 constexpr msec settings_check_period = 2000;
-constexpr msec join_retry = 1000;
+/// Time in which the seeds respond if one of them runs.
+constexpr msec seed_wait = 1000;
 constexpr msec stop_check_period = 50;
+/// Time for which clients may use the address of a node that is no longer
+/// listed; it stays ready until then.
+constexpr msec listing_memory = 15'000;
 /// Share of the stop's grace period in which new requests are still served.
 constexpr double serving_share = 0.37;
 /// Share of the grace period for which an idle node still runs, as clients may
@@ -75,7 +79,8 @@
                    .cluster_retries = {.base = settings_.retry_base,
                                        .ratio = settings_.retry_ratio}},
                   clock_, log_)
-    , view_(settings_.node, loop_, *store_, *adapter_.codec, peers_, log_,
+    , announcer_(peers_, [this] { return dispatcher_.all_work(); })
+    , view_(own_rank(), loop_, *store_, *adapter_.codec, peers_, log_,
             {.routing = [this](auto it) { set_routing(std::move(it)); },
              .withdrawn = [this](auto it)
              { dispatcher_.set_withdrawn(std::move(it)); },
@@ -94,6 +99,8 @@
                .count = counters_,
                .metrics = metrics_,
                // Ids of different processes start far apart and don't collide.
+               .directory =
+                   directory_sampler(static_cast<std::uint64_t>(incarnation_)),
                .next_request = static_cast<std::uint64_t>(incarnation_) << 20 ^
                                std::hash<std::string>{}(settings_.node) << 44,
                .body_bytes_limit =
@@ -107,10 +114,10 @@
     dispatcher_.set_announce(
         [this](const wire::work_update& update)
         {
-            wire::peer_message message;
-            *message.mutable_work_update() = update;
-            send_to_live(message);
+            announcer_.announce(update, loop_.now());
+            wake();
         });
+    dispatcher_.set_wake([this] { wake(); });
     dispatcher_.set_crash_announce(
         [this](const crash_report& item)
         {
@@ -131,6 +138,7 @@
             .zone = settings_.failure_domain,
             .peer_address = settings_.peer,
             .listen_address = settings_.traffic,
+            .capacity = capacity_of(settings_),
             .incarnation = incarnation_,
             .seeds = settings_.seeds,
             .period = gossip_period,
@@ -151,9 +159,8 @@
     if (!settings_.metrics.empty())
         server_.listen(settings_.metrics, listener_role::metrics);
     server_.start();
-    view_.start();
-    join_cluster();
-    register_address();
+    view_.start(settings_.is_bootstrap);
+    loop_.call_after(seed_wait, [this] { join_cluster(); });
     start_timers();
     loop_.run();
     server_.stop();
@@ -170,9 +177,14 @@
                          update_members();
                          publish_state();
                      });
-    loop_.call_every(tick_period, [this] { dispatcher_.tick(); });
     loop_.call_every(announce_all_period,
-                     [this] { dispatcher_.announce_all(); });
+                     [this]
+                     {
+                         dispatcher_.drop_silent_nodes();
+                         announcer_.announce_all(
+                             serving_set_.contains(settings_.node),
+                             loop_.now());
+                     });
     loop_.call_every(flush_period,
                      [this]
                      {
@@ -188,6 +200,22 @@
                      });
 }
 
+void gateway::wake()
+{
+    if (std::exchange(is_awake_, true))
+        return;
+    loop_.call_after(tick_period, [this] { tick(); });
+}
+
+void gateway::tick()
+{
+    is_awake_ = false;
+    dispatcher_.tick();
+    announcer_.flush(loop_.now());
+    if (dispatcher_.waiting() > 0)
+        wake();
+}
+
 void gateway::request_stop()
 {
     loop_.post([this] { begin_stop(); });
@@ -254,65 +282,28 @@
                 {"grace_ms", settings_.stop_grace}});
 }
 
-void gateway::gossip()
-{
-    for (auto& it : members_.tick(loop_.now()))
-    {
-        wire::peer_message message;
-        *message.mutable_gossip() = std::move(*it.message);
-        peers_.send(it.peer_address, std::move(message));
-    }
-}
-
-void gateway::update_members()
-{
-    std::map<std::string, std::int64_t> live;
-    std::map<std::string, std::string> domain_nodes;
-    for (const auto* const it : members_.live_members(loop_.now()))
-    {
-        live[it->node] = it->incarnation;
-        if (it->zone == settings_.failure_domain)
-            domain_nodes[it->node] = it->peer_address;
-    }
-    view_.set_domain_nodes(std::move(domain_nodes));
-    for (const auto& [node, incarnation] : live_)
-    {
-        const auto it = live.find(node);
-        if (it != live.end() && it->second == incarnation)
-            continue;
-        log_.write(log_event::peer_lost, {{"peer", std::string_view(node)},
-                                          {"incarnation", incarnation}});
-        // A leaving node still has requests and announces their end itself.
-        const auto* const known = members_.find(node);
-        if (known == nullptr || !known->leaving ||
-            known->incarnation != incarnation)
-            dispatcher_.on_node_lost(node);
-    }
-    for (const auto& [node, it] : members_.members())
-        if (it.leaving && members_.is_suspected(it, loop_.now()))
-            dispatcher_.on_node_lost(node);
-    for (const auto& [node, incarnation] : live)
-        if (!live_.contains(node) || live_.at(node) != incarnation)
-            log_.write(log_event::peer_gained,
-                       {{"peer", std::string_view(node)},
-                        {"incarnation", incarnation}});
-    dispatcher_.set_nodes(live.size(), members_.known_peers());
-    live_ = std::move(live);
-    dispatcher_.drop_missing(view_.store_reached(),
-                             view_.authoritative_since());
-}
-
 void gateway::publish_state()
 {
-    const bool ready = has_routing_ && stop_began_ == 0 &&
-                       view_.version(cluster_table::endpoints) > 0;
-    if (ready != serving_)
+    const bool can_serve = has_routing_ && stop_began_ == 0 &&
+                           view_.version(cluster_table::endpoints) > 0;
+    if (can_serve != serving_)
     {
-        serving_ = ready;
-        members_.set_serving(ready);
+        serving_ = can_serve;
+        members_.set_serving(can_serve);
     }
-    constexpr std::size_t max_listed = 64;
-    auto nodes = members_.list_nodes(max_listed, loop_.now());
+    auto nodes = listed_nodes();
+    const auto now = loop_.now();
+    const bool is_listed = std::any_of(nodes.begin(), nodes.end(),
+                                       [this](const listed_node& it)
+                                       { return it.node == settings_.node; });
+    if (is_listed)
+        listed_at_ = now;
+    const bool ready =
+        can_serve && listed_at_ && now - *listed_at_ <= listing_memory;
+    if (nodes == published_nodes_ && ready == published_ready_)
+        return;
+    published_nodes_ = nodes;
+    published_ready_ = ready;
     server_.post(
         [this, ready, nodes = std::move(nodes)]() mutable
         {
@@ -331,6 +322,16 @@
         gauge::endpoints_known,
         static_cast<std::int64_t>(dispatcher_.endpoints().all().size()));
     metrics_.set(gauge::live_nodes, static_cast<std::int64_t>(live_.size()));
+    metrics_.set(gauge::serving_nodes,
+                 static_cast<std::int64_t>(serving_set_.members().size()));
+    metrics_.set(gauge::serving, serving_set_.contains(settings_.node) ? 1 : 0);
+    const auto& traffic = peers_.traffic();
+    metrics_.set(gauge::peer_messages_received,
+                 static_cast<std::int64_t>(traffic.messages_received));
+    metrics_.set(gauge::peer_bytes_received,
+                 static_cast<std::int64_t>(traffic.bytes_received));
+    metrics_.set(gauge::peer_bytes_sent,
+                 static_cast<std::int64_t>(traffic.bytes_sent));
     metrics_.set(gauge::waiting_requests,
                  static_cast<std::int64_t>(dispatcher_.waiting()));
     metrics_.set(gauge::running_requests,
@@ -339,86 +340,6 @@
                  static_cast<std::int64_t>(log_.dropped()));
 }
 
-void gateway::join_cluster()
-{
-    store_->read_nodes(
-        [this](absl::StatusOr<std::vector<std::string>> addresses)
-        {
-            if (!addresses.ok())
-            {
-                loop_.call_after(join_retry, [this] { join_cluster(); });
-                return;
-            }
-            for (const auto& it : *addresses)
-                if (it != settings_.peer)
-                    members_.add_seed(it);
-        });
-}
-
-void gateway::register_address()
-{
-    store_->write_node(settings_.node, settings_.peer,
-                       [this](const absl::Status& status)
-                       {
-                           if (!status.ok() && stop_began_ == 0)
-                               loop_.call_after(join_retry,
-                                                [this] { register_address(); });
-                       });
-}
-
-void gateway::receive(const wire::peer_message& message)
-{
-    if (message.from() == settings_.node)
-        return;
-    const auto now = loop_.now();
-    switch (message.body_case())
-    {
-    case wire::peer_message::kGossip:
-    {
-        auto reply = members_.on_gossip(message.from(), message.gossip(), now);
-        const auto* const sender = members_.find(message.from());
-        if (sender == nullptr)
-            return;
-        view_.on_gossip(sender->peer_address, message.gossip());
-        if (reply == nullptr)
-            return;
-        wire::peer_message response;
-        *response.mutable_gossip() = std::move(*reply);
-        peers_.send(sender->peer_address, std::move(response));
-        return;
-    }
-    case wire::peer_message::kWorkUpdate:
-        dispatcher_.on_update(message.from(), message.work_update());
-        return;
-    case wire::peer_message::kStrike:
-        for (const auto& it : message.strike().strikes())
-            dispatcher_.on_crash_report({.fingerprint = it.fingerprint(),
-                                         .crash_id = it.crash_id(),
-                                         .at = now - it.age_ms()});
-        return;
-    case wire::peer_message::kRowsPull:
-        if (const auto* const sender = members_.find(message.from()))
-            view_.on_pull(sender->peer_address, message.rows_pull());
-        return;
-    case wire::peer_message::kRowsPush:
-        view_.on_push(message.rows_push());
-        return;
-    case wire::peer_message::kRowsRelay:
-        view_.on_relay(message.from(), message.rows_relay());
-        return;
-    default:
-        // The other messages are used only between processes of the `node`
-        // command, which serves the project's own interface.
-        return;
-    }
-}
-
-void gateway::send_to_live(const wire::peer_message& message)
-{
-    for (const auto* const it : members_.live_members(loop_.now()))
-        peers_.send(it->peer_address, message);
-}
-
 void gateway::set_routing(std::shared_ptr<const routing_table> routing)
 {
     has_routing_ = true;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
 #include "galenapulley/membership.hpp"
+#include "galenapulley/serving_set.hpp"
 #include "gateway/cluster_view.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/dispatcher_proxy.hpp"
@@ -13,13 +14,16 @@
 #include "gateway/traffic_server.hpp"
 #include "gateway/traffic_state.hpp"
 #include "gateway/wire_format.hpp"
+#include "gateway/work_announcer.hpp"
 #include "node/control_loop.hpp"
 #include "node/peer_socket.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace galenapulley
 {
@@ -62,6 +66,16 @@
     void reload();
     void gossip();
     void update_members();
+    void update_live(const std::vector<const member*>& members);
+    void update_domain_nodes(const std::vector<const member*>& members);
+    void update_serving_set(const std::vector<const member*>& members);
+    void log_serving_set();
+    ranked_node own_rank() const;
+    /// Nodes that the directory lists to clients.
+    std::vector<listed_node> listed_nodes() const;
+    /// Has tick() called soon; it is not called while there is nothing to do.
+    void wake();
+    void tick();
     void publish_state();
     void update_gauges();
     void join_cluster();
@@ -84,6 +98,8 @@
     peer_socket peers_;
     std::unique_ptr<row_store> store_;
     dispatcher dispatcher_;
+    work_announcer announcer_;
+    serving_set serving_set_;
     cluster_view view_;
     boost::asio::io_context traffic_io_;
     dispatcher_proxy dispatcher_proxy_;
@@ -93,6 +109,13 @@
     std::map<std::string, std::int64_t> live_;
     bool has_routing_ = false;
     bool serving_ = false;
+    /// This node's address is in the store, or being written.
+    bool registered_ = false;
+    bool is_awake_ = false;
+    std::vector<listed_node> published_nodes_;
+    bool published_ready_ = false;
+    /// When this node was last listed to clients.
+    std::optional<msec> listed_at_;
     msec stop_began_ = 0;
     msec last_settings_change_ = 0;
 };
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -17,11 +17,11 @@
 constexpr std::array<std::string_view, request_stage_count> stage_names{
     "placement", "first_event", "pause", "whole"};
 constexpr std::array<std::string_view, gauge_count> gauge_names{
-    "configuration_version", "operations_age_ms",
-    "endpoints_age_ms",      "store_reached",
-    "endpoints_known",       "live_nodes",
-    "waiting_requests",      "running_requests",
-    "open_connections",      "body_bytes",
+    "configuration_version", "operations_age_ms", "endpoints_age_ms",
+    "store_reached",         "endpoints_known",   "live_nodes",
+    "serving_nodes",         "serving",           "peer_messages_received",
+    "peer_bytes_received",   "peer_bytes_sent",   "waiting_requests",
+    "running_requests",      "open_connections",  "body_bytes",
     "log_lines_left_out"};
 constexpr double ms_per_second = 1000;
 
@@ -61,6 +61,13 @@
     gauges_.at(static_cast<std::size_t>(which)) = value;
 }
 
+void gateway_metrics::set_serving_set(
+    std::map<std::string, serving_reason> members)
+{
+    const std::lock_guard lock(serving_set_mutex_);
+    serving_set_ = std::move(members);
+}
+
 void gateway_metrics::count(attempt_outcome outcome)
 {
     outcomes_.increment(static_cast<std::size_t>(outcome));
@@ -82,6 +89,9 @@
     nlohmann::ordered_json out;
     for (std::size_t n = 0; n < gauges_.size(); ++n)
         out[std::string(gauge_names[n])] = gauges_[n].load();
+    const std::lock_guard lock(serving_set_mutex_);
+    for (const auto& [node, reason] : serving_set_)
+        out["serving_set"][node] = name_of(reason);
     return out.dump();
 }
 
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
+#include "galenapulley/serving_set.hpp"
 #include "gateway/dispatch_request.hpp"
 #include "gateway/wire_format.hpp"
 
@@ -9,6 +10,8 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <mutex>
 #include <string>
 
 namespace galenapulley
@@ -38,6 +41,11 @@
     store_reached,
     endpoints_known,
     live_nodes,
+    serving_nodes,
+    serving,
+    peer_messages_received,
+    peer_bytes_received,
+    peer_bytes_sent,
     waiting_requests,
     running_requests,
     open_connections,
@@ -56,13 +64,14 @@
 
     void observe(request_stage stage, msec elapsed);
     void set(gauge which, std::int64_t value);
+    void set_serving_set(std::map<std::string, serving_reason> members);
     void count(attempt_outcome outcome);
     void count(order_result result);
     void count_response(int status);
 
     /// Histograms and gauges in the metrics text format.
     std::string expose() const;
-    /// All gauges as a JSON object, for operators.
+    /// All gauges and the serving set as a JSON object, for operators.
     std::string status() const;
 
 private:
@@ -80,6 +89,8 @@
     counter_family& orders_;
     std::array<histogram, request_stage_count> histograms_;
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
+    mutable std::mutex serving_set_mutex_;
+    std::map<std::string, serving_reason> serving_set_;
 };
 
 } // namespace galenapulley
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -19,6 +19,14 @@
 
 } // namespace
 
+std::uint32_t capacity_of(const gateway_settings& settings)
+{
+    constexpr double millicores_per_core = 1000;
+    return static_cast<std::uint32_t>(millicores_per_core *
+                                      settings.processor_share *
+                                      settings.processor_speed);
+}
+
 absl::StatusOr<gateway_settings> parse_gateway_settings(std::string_view text)
 {
     const auto json = parse_json(text, document_kind);
@@ -49,6 +57,9 @@
         reader.decimal("memory_return_ms", 500, 60'000, 4000));
     out.memory_mb = static_cast<std::uint64_t>(
         reader.decimal("memory_mb", 16, 1'000'000, 128));
+    out.processor_share = reader.decimal("processor_share", 0.001, 1024, 1);
+    out.processor_speed = reader.decimal("processor_speed", 0.001, 1024, 1);
+    out.is_bootstrap = reader.flag("bootstrap", false);
     out.log_level = reader.choice("log_level", log_levels, std::string("info"));
     reader.finish();
     if (!errors.empty())
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -43,9 +43,18 @@
     /// has to be free again.
     msec memory_release = 4000;
     std::uint64_t memory_mb = 128;
+    /// Share of a processor core that the process may use, and the speed of
+    /// the core relative to those of the other nodes.
+    double processor_share = 1;
+    double processor_speed = 1;
+    /// The whole fleet starts, not only this node.
+    bool is_bootstrap = false;
     std::string log_level = "info";
 };
 
+/// Processor capacity in thousandths of a core.
+std::uint32_t capacity_of(const gateway_settings& settings);
+
 /// Parses and checks a settings file; errors as for parse_service.
 absl::StatusOr<gateway_settings> parse_gateway_settings(std::string_view text);
 
--- a/src/gateway/traffic_state.hpp
+++ b/src/gateway/traffic_state.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
+#include "galenapulley/directory_sampler.hpp"
 #include "galenapulley/membership.hpp"
 #include "galenapulley/routing_table.hpp"
 #include "gateway/dispatcher_proxy.hpp"
@@ -33,18 +34,20 @@
     event_log& log;
     counters& count;
     gateway_metrics& metrics;
+    /// Chooses the nodes of each response of the directory.
+    directory_sampler directory;
     std::uint64_t next_request = 0;
 
     /// Null until a configuration has been received.
     std::shared_ptr<const routing_table> routing{};
-    /// Nodes listed to clients, including this one.
+    /// Nodes that may be listed to clients.
     std::vector<listed_node> nodes{};
     bool ready = false;
     /// The process is stopping; connections are closed after the response.
     bool stopping = false;
     /// New requests are refused, as the process may end before a stream does.
     bool refusing = false;
-    /// Bytes of request bodies in memory, and their limit.
+    /// Bytes of buffered bodies in memory, and their limit.
     std::size_t body_bytes = 0;
     std::size_t body_bytes_limit = 0;
     std::size_t open_connections = 0;
--- a/tests/fakes/gossip_fleet.hpp
+++ b/tests/fakes/gossip_fleet.hpp
@@ -94,6 +94,16 @@
         add(n, zones, incarnation);
     }
 
+    /// Makes the first `n` nodes the core on all nodes.
+    void set_core(std::size_t n)
+    {
+        std::set<std::string> core;
+        for (std::size_t k = 0; k < n; ++k)
+            core.insert(nodes_[k]->name);
+        for (auto& it : nodes_)
+            it->gossip.set_core(core, now_);
+    }
+
     /// Simulates one second: every node ticks, then all messages are delivered.
     void round()
     {
--- a/tests/gateway/gateway_bad_input_test.cpp
+++ b/tests/gateway/gateway_bad_input_test.cpp
@@ -48,6 +48,11 @@
         {"headers that are too large",
          with("X-A: " + std::string(5000, 'a') + "\r\n"), 431},
         {"a body that is too large", with("Content-Length: 200000\r\n"), 413},
+        // It couldn't tell a stream that breaks off from a complete one.
+        {"a stream for HTTP/1.0",
+         "POST /s/x HTTP/1.0\r\nHost: h.example\r\nX-Api-Key: key-1\r\n"
+         "Galenapulley-Attempt-Id: t\r\nContent-Length: 0\r\n\r\n",
+         400},
         {"a request that stops in its head", "GET /i/x HTTP/1.1\r\nHos", 408},
     };
     for (const auto& it : cases)
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -227,3 +227,34 @@
     fleet.target.set_nodes(49, 99);
     BOOST_TEST(retries_granted(fleet, 80) <= 50U);
 }
+
+// Guards against endpoints that look loaded for ever: a node that leaves the
+// serving set gets no more announcements, and neither do the others of it.
+BOOST_AUTO_TEST_CASE(work_of_a_silent_node_is_forgotten)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_update("n2", announcement(fleet, 1000, false));
+    const auto key = fleet.target.endpoints().all().begin()->second.key;
+    const auto running = [&]
+    {
+        return fleet.target.load().load_of(key, fleet.time.now()).running;
+    };
+    fleet.time.advance(6000);
+    fleet.target.drop_silent_nodes();
+    BOOST_TEST(running() == 1U);
+    fleet.time.advance(1000);
+    fleet.target.drop_silent_nodes();
+    BOOST_TEST(running() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_request_rate_leaves_out_retries)
+{
+    one_endpoint fleet(0);
+    for (int n = 0; n < 300; ++n)
+    {
+        fleet.ask(1000, n % 3 == 0);
+        fleet.time.advance(10);
+    }
+    BOOST_TEST(fleet.target.request_rate() > 40);
+    BOOST_TEST(fleet.target.request_rate() < 80);
+}
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -18,8 +18,128 @@
     return n;
 }
 
+/// 350 nodes that know each other, the first 16 of them the core. A round of
+/// the simulation is one gossip period, half a second of a gateway.
+struct large_fleet
+{
+    static constexpr std::size_t nodes = 350;
+    static constexpr std::size_t core = 16;
+    static constexpr msec suspect_after = 6000;
+
+    gossip_fleet fleet{nodes, 8, 3, 128, suspect_after};
+
+    large_fleet()
+    {
+        fleet.rounds(12);
+        fleet.set_core(core);
+        fleet.rounds(60);
+    }
+
+    /// Pairs of running nodes of which the first one suspects the second one.
+    std::size_t suspected_core_nodes()
+    {
+        std::size_t n = 0;
+        for (std::size_t k = 0; k < nodes; ++k)
+            for (std::size_t c = 0; c < core; ++c)
+                n += k != c && !fleet[k].down && !fleet[c].down &&
+                     !is_fresh(k, c);
+        return n;
+    }
+
+    bool is_fresh(std::size_t at, std::size_t node)
+    {
+        const auto& gossip = fleet[at].gossip;
+        const auto* const it = gossip.find(fleet[node].name);
+        return it != nullptr && gossip.is_fresh(*it, fleet.now());
+    }
+};
+
 } // namespace
 
+// Guards against traffic above the control budget of 2 KB/s per node in a fleet
+// of 350, and against a serving node that the directory omits.
+BOOST_FIXTURE_TEST_CASE(a_core_keeps_gossip_within_the_traffic_bound,
+                        large_fleet)
+{
+    constexpr std::size_t rounds = 40;
+    constexpr std::size_t rounds_per_second = 2;
+    fleet.bytes_sent = 0;
+    std::size_t suspected = 0;
+    for (std::size_t n = 0; n < rounds; ++n)
+    {
+        fleet.round();
+        suspected += suspected_core_nodes();
+    }
+    const auto rate = fleet.bytes_sent * rounds_per_second / rounds / nodes;
+    BOOST_TEST_MESSAGE("bytes sent per second and node: " << rate);
+    BOOST_TEST(rate <= 2000U);
+    BOOST_TEST(suspected == 0U);
+    for (std::size_t k = 0; k < core; ++k)
+        BOOST_TEST(fleet[k].gossip.live_members(fleet.now()).size() ==
+                   nodes - 1);
+}
+
+// Guards against clients that are sent to a lost node: the directory may name
+// it for 7 s at most, 14 rounds.
+BOOST_FIXTURE_TEST_CASE(a_lost_core_node_is_noticed_by_all, large_fleet)
+{
+    fleet[4].down = true;
+    fleet.rounds(14);
+    for (std::size_t k = 0; k < nodes; ++k)
+        BOOST_TEST((k == 4 || !is_fresh(k, 4)));
+    BOOST_TEST(suspected_core_nodes() == 0U);
+}
+
+// Guards against a serving set that keeps choosing a lost standby: it is silent
+// as a core node, and as a standby it would seem alive again.
+BOOST_FIXTURE_TEST_CASE(a_lost_standby_that_joins_the_core_is_suspected,
+                        large_fleet)
+{
+    fleet[core].down = true;
+    fleet.rounds(2);
+    fleet.set_core(core + 1);
+    BOOST_TEST(!fleet[0].gossip.is_suspected(
+        *fleet[0].gossip.find(fleet[core].name), fleet.now()));
+    fleet.rounds(8);
+    fleet.set_core(core);
+    BOOST_TEST(fleet[0].gossip.is_suspected(
+        *fleet[0].gossip.find(fleet[core].name), fleet.now()));
+    BOOST_TEST(!fleet[0].gossip.is_suspected(
+        *fleet[0].gossip.find(fleet[core + 1].name), fleet.now()));
+}
+
+// Guards against a standby that loses sight of the core while messages are
+// lost or nodes are paused.
+BOOST_FIXTURE_TEST_CASE(loss_and_pauses_leave_the_core_known, large_fleet)
+{
+    std::mt19937 random(7);
+    fleet.set_loss([&](const gossip_node&, const gossip_node&)
+                   { return random() % 100 < 10; });
+    fleet[2].paused = true;
+    fleet.rounds(10);
+    fleet[2].paused = false;
+    std::size_t missed = 0;
+    for (int n = 0; n < 20; ++n)
+    {
+        fleet.round();
+        missed += n >= 6 ? suspected_core_nodes() : 0;
+    }
+    // One in a thousand views may be too old for a moment.
+    BOOST_TEST(missed <= 14 * nodes * core / 1000);
+}
+
+// Guards against a partition after which the two halves keep separate views.
+BOOST_FIXTURE_TEST_CASE(a_core_heals_after_a_partition, large_fleet)
+{
+    fleet.set_loss([](const gossip_node& a, const gossip_node& b)
+                   { return (a.name.back() < '5') != (b.name.back() < '5'); });
+    fleet.rounds(60);
+    BOOST_TEST(suspected_core_nodes() > 0U);
+    fleet.set_loss({});
+    fleet.rounds(30);
+    BOOST_TEST(suspected_core_nodes() == 0U);
+}
+
 // Guards against nodes that gossip never reaches, and against messages that
 // grow with the fleet.
 RC_BOOST_PROP(gossip_converges_in_bounded_rounds, ())
