Event splitter: search new bytes only; time for an event counts from the last one

Cause: an event without end was searched anew with each read, which took quadratic time (over a second for 1 MiB beside load). The time allowed without events shrank with the time left, so that a late event in two segments would have been cut off (found by reading the diff).

Change: search from the last three bytes on; 256 KiB an event; the time is set when an event arrives.

--- a/src/galenapulley/event_splitter.cpp
+++ b/src/galenapulley/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "galenapulley/event_splitter.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace galenapulley
@@ -9,6 +10,8 @@
 {
 
 constexpr std::string_view id_field = "id:";
+/// Length of the longest blank line with the line end before it.
+constexpr std::size_t max_terminator_bytes = 4;
 
 /// Offset after the last blank line, which ends an event; 0 if there is none.
 std::size_t end_of_events(std::string_view text)
@@ -37,8 +40,13 @@
 
 std::string event_splitter::feed(std::string_view bytes)
 {
+    // What is buffered holds no end of an event, except for a part of one. To
+    // search it again would take quadratic time for bytes without end.
+    const auto from =
+        buffer_.size() - std::min(buffer_.size(), max_terminator_bytes - 1);
     buffer_.append(bytes);
-    const auto end = end_of_events(buffer_);
+    const auto found = end_of_events(std::string_view(buffer_).substr(from));
+    const auto end = found == 0 ? 0 : from + found;
     std::string complete = buffer_.substr(0, end);
     buffer_.erase(0, end);
     record_ids(complete);
--- a/src/galenapulley/event_splitter.hpp
+++ b/src/galenapulley/event_splitter.hpp
@@ -29,7 +29,7 @@
     /// Number of complete events with an id.
     std::uint64_t event_count() const { return event_count_; }
 
-    static constexpr std::size_t max_event_bytes = std::size_t{1} << 20;
+    static constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
 private:
     void record_ids(std::string_view complete);
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -440,22 +440,17 @@
 {
     event_splitter splitter;
     bool announced_first = false;
-    auto progress_at = now();
+    // Bytes that complete no event extend the time for one, but not without
+    // end.
+    auto event_due_at = now() + partial_event_factor * read_timeout();
     while (!connection_->body_complete())
     {
         std::string bytes;
-        const auto limit = read_timeout();
-        // Bytes that complete no event extend the time for one, but not
-        // without end.
-        const auto stalled_after =
-            progress_at + partial_event_factor * limit - now();
         const auto result = co_await connection_->read_some(
-            bytes, std::min(limit, stalled_after));
+            bytes, std::min(read_timeout(), event_due_at - now()));
         const auto events = splitter.feed(bytes);
         if (splitter.is_oversized())
             co_return attempt_outcome::broken_response;
-        if (!events.empty())
-            progress_at = now();
         if (!events.empty())
         {
             // A resumed stream must continue with the next event id.
@@ -469,6 +464,7 @@
             if (splitter.last_id())
                 last_event_ = splitter.last_id();
             ++events_sent_;
+            event_due_at = now() + partial_event_factor * read_timeout();
         }
         if (result != connection_result::done)
             co_return outcome_of(result);
