forwarding: relaying in a file of its own; announcer: one delay, no derived flag

The announcer's delay stood twice, and whether anything is delayed follows from the message. Comments of membership that told how a figure came about are reworded. No change of behaviour meant: work_announcer, gateway_endless_bytes, gateway_retry, gateway_path and gateway_memory tests pass.

--- a/src/galenapulley/membership.cpp
+++ b/src/galenapulley/membership.cpp
@@ -20,7 +20,7 @@
 // A message with 4 entries propagates the heartbeats of 9 members within the
 // configured timeouts. Messages have a bounded number of entries, so heartbeats
 // spread more slowly in larger fleets and the timeouts grow with the fleet's
-// size. With fixed timeouts, 22% of 100 live nodes were suspected.
+// size.
 constexpr std::size_t members_per_entries = 9;
 constexpr std::size_t entries_for_members = 4;
 // Has to exceed a partition between regions, which lasts about an hour.
--- a/src/galenapulley/membership_messages.cpp
+++ b/src/galenapulley/membership_messages.cpp
@@ -13,9 +13,8 @@
 namespace
 {
 
-// One entry in four includes zone and addresses, the others only the heartbeat.
-// With full entries only, each of 18 nodes sent 2,008 bytes per second, which
-// is the whole budget for gossip.
+// One entry in four includes zone and addresses, the others only the heartbeat:
+// full entries would use up the bandwidth allowed for control.
 constexpr std::uint64_t entries_per_full_entry = 4;
 // With a core, a node that has just started asks the core itself, so fewer full
 // entries are needed.
@@ -177,8 +176,7 @@
         return options_.max_shard_owners >
                static_cast<std::size_t>(message.shard_owners_size());
     };
-    // Owners are repeated only to make up for lost messages. With eight of
-    // them in every message, owners were a third of the gossip traffic.
+    // Owners are repeated only to make up for lost messages.
     const bool is_new = to == nullptr || to->announcements_left > 0;
     const std::size_t repeated =
         is_new ? options_.max_shard_owners : options_.repeated_shard_owners;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -27,8 +27,6 @@
 constexpr msec connect_timeout = 400;
 /// Most attempts of one request, including those that an endpoint refused.
 constexpr std::uint32_t max_total_attempts = 4;
-/// Largest body of a response that is not a stream; it is buffered whole.
-constexpr std::size_t max_buffered_response = std::size_t{8} << 20;
 /// Before the first event, an attempt fails as stalled after this time plus so
 /// many target latencies of the route.
 constexpr msec first_event_margin = 3500;
@@ -40,9 +38,6 @@
 /// an event, or after a multiple of the route's target gap if that is longer.
 constexpr msec min_stall_timeout = 1000;
 constexpr msec stall_gaps = 3;
-/// A stream that sends bytes but completes no event fails after this multiple
-/// of the time allowed without any bytes.
-constexpr msec partial_event_factor = 2;
 
 /// An attempt's time limit ends after the request's deadline, so that a passed
 /// deadline is not taken for a stalled endpoint.
@@ -56,40 +51,6 @@
     return {};
 }
 
-/// Memory of a response that is buffered, counted with that of the requests.
-class buffered_bytes
-{
-public:
-    explicit buffered_bytes(traffic_state& state) : state_(state) {}
-    ~buffered_bytes() { state_.body_bytes -= held_; }
-
-    buffered_bytes(const buffered_bytes&) = delete;
-    buffered_bytes& operator=(const buffered_bytes&) = delete;
-
-    /// Returns whether the memory limit allows it.
-    bool grow_to(std::size_t bytes)
-    {
-        state_.body_bytes += bytes - held_;
-        held_ = bytes;
-        return state_.body_bytes <= state_.body_bytes_limit;
-    }
-
-private:
-    traffic_state& state_;
-    std::size_t held_ = 0;
-};
-
-/// The endpoint's headers, without those that apply to its connection only.
-header_list client_headers(const header_list& headers)
-{
-    header_list out;
-    for (const auto& it : headers)
-        if (!is_connection_header(it.first) &&
-            !is_named_by_connection(headers, it.first))
-            out.push_back(it);
-    return out;
-}
-
 } // namespace
 
 forwarding::forwarding(traffic_state& state, client_connection& client,
@@ -377,113 +338,6 @@
     return std::min(left, std::max(usual, expected));
 }
 
-asio::awaitable<attempt_outcome> forwarding::relay_buffered(header_list headers)
-{
-    std::string body;
-    buffered_bytes held(state_);
-    const bool skip_body = request_.received.method == "HEAD";
-    while (!skip_body && !connection_->body_complete())
-    {
-        const auto result =
-            co_await connection_->read_some(body, until_deadline());
-        if (result != connection_result::done)
-            co_return outcome_of(result);
-        if (body.size() > max_buffered_response || !held.grow_to(body.size()))
-            co_return attempt_outcome::broken_before_response;
-    }
-    const int status = connection_->status();
-    const bool failed = status >= 500;
-    if (failed && may_retry(attempt_outcome::endpoint_error))
-        co_return attempt_outcome::endpoint_error;
-    if (head_sent_)
-        co_return attempt_outcome::broken_response;
-    state_.metrics.count_response(status);
-    state_.metrics.observe(request_stage::first_event, now() - placed_at_);
-    head_sent_ = true;
-    auto text =
-        response_head(status, connection_->reason(), client_headers(headers),
-                      body.size(), keep_alive_) +
-        body;
-    const auto sent = co_await client_.write(std::move(text));
-    if (!sent)
-        co_return attempt_outcome::client_gone;
-    log_end(log_event::answered, failed ? "endpoint_error" : "whole", "");
-    co_return failed ? attempt_outcome::endpoint_error
-                     : attempt_outcome::completed;
-}
-
-asio::awaitable<bool> forwarding::send_events(const header_list& headers,
-                                              const std::string& events)
-{
-    const auto at = now();
-    if (events_sent_ == 0)
-    {
-        first_event_ms_ = at - request_.received.received_at;
-        state_.metrics.observe(request_stage::first_event, at - placed_at_);
-    }
-    else
-        longest_gap_ = std::max(longest_gap_, at - last_event_at_);
-    last_event_at_ = at;
-    std::string out;
-    if (!head_sent_)
-    {
-        out = response_head(connection_->status(), connection_->reason(),
-                            client_headers(headers), std::nullopt, keep_alive_);
-        state_.metrics.count_response(connection_->status());
-    }
-    head_sent_ = true;
-    out += chunk(events);
-    co_return co_await client_.write(std::move(out));
-}
-
-asio::awaitable<attempt_outcome> forwarding::relay_stream(header_list headers)
-{
-    event_splitter splitter;
-    bool announced_first = false;
-    // Bytes that complete no event extend the time for one, but not without
-    // end.
-    auto event_due_at = now() + partial_event_factor * read_timeout();
-    while (!connection_->body_complete())
-    {
-        std::string bytes;
-        const auto result = co_await connection_->read_some(
-            bytes, std::min(read_timeout(), event_due_at - now()));
-        const auto events = splitter.feed(bytes);
-        if (splitter.is_oversized())
-            co_return attempt_outcome::broken_response;
-        if (!events.empty())
-        {
-            // A resumed stream must continue with the next event id.
-            if (last_event_ && !announced_first &&
-                splitter.first_id() != *last_event_ + 1)
-                co_return attempt_outcome::broken_response;
-            if (!std::exchange(announced_first, true))
-                state_.dispatch.on_first_token(dispatch_id_);
-            if (!co_await send_events(headers, events))
-                co_return attempt_outcome::client_gone;
-            if (splitter.last_id())
-                last_event_ = splitter.last_id();
-            ++events_sent_;
-            event_due_at = now() + partial_event_factor * read_timeout();
-        }
-        if (result != connection_result::done)
-            co_return outcome_of(result);
-    }
-    if (splitter.has_partial())
-        co_return attempt_outcome::broken_response;
-    std::string end;
-    if (!head_sent_)
-        end = response_head(connection_->status(), connection_->reason(),
-                            client_headers(headers), std::nullopt, keep_alive_);
-    head_sent_ = true;
-    end += last_chunk;
-    if (!co_await client_.write(std::move(end)))
-        co_return attempt_outcome::client_gone;
-    state_.metrics.observe(request_stage::longest_gap, longest_gap_);
-    log_end(log_event::answered, "stream", "");
-    co_return attempt_outcome::completed;
-}
-
 bool forwarding::may_retry(attempt_outcome outcome) const
 {
     const auto& matched_route = *request_.matched_route;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,7 +25,7 @@
 /// 128 entries keep suspect_after at 3 s for up to 575 nodes.
 constexpr std::size_t gossip_entries = 128;
 constexpr msec members_period = 500;
-constexpr msec tick_period = 20;
+constexpr msec tick_period = work_announcer::max_delay;
 constexpr msec flush_period = 500;
 constexpr msec announce_all_period = 2000;
 constexpr msec settings_check_period = 2000;
--- a/src/gateway/work_announcer.cpp
+++ b/src/gateway/work_announcer.cpp
@@ -45,7 +45,6 @@
 void work_announcer::announce(const wire::work_update& update, msec now)
 {
     delayed_.MergeFrom(update);
-    has_delayed_ = true;
     had_work_ = had_work_ || update.placed_size() > 0;
     if (is_urgent(update))
         flush(now);
@@ -53,9 +52,9 @@
 
 bool work_announcer::flush(msec now)
 {
-    if (!std::exchange(has_delayed_, false))
-        return false;
     const auto update = std::exchange(delayed_, wire::work_update());
+    if (update.ByteSizeLong() == 0)
+        return false;
     send(update, now);
     return true;
 }
--- a/src/gateway/work_announcer.hpp
+++ b/src/gateway/work_announcer.hpp
@@ -37,7 +37,6 @@
     /// Sends all work of this node, which replaces what the others know. A
     /// standby without work sends nothing.
     void announce_all(bool is_serving, msec now);
-    bool has_delayed() const { return has_delayed_; }
 
     /// Longest delay of an announcement.
     static constexpr msec max_delay = 20;
@@ -58,10 +57,9 @@
     peer_link& link_;
     work_source all_work_;
     std::map<std::string, std::string> serving_;
-    /// Nodes outside the serving set that announce work.
+    /// Nodes that have announced work lately.
     std::map<std::string, active_node> active_;
     wire::work_update delayed_;
-    bool has_delayed_ = false;
     /// Whether the others know of work of this node.
     bool had_work_ = false;
 };
