Logs: crash reports name the endpoint, the events sent and the prompt's parts

The adapter now reads the parts of a prompt that other requests may share; the end of an attempt is one struct with the number of events. No decision changes: platform_format, dispatcher and gateway_explain tests pass.

--- /dev/null
+++ b/src/galenapulley/prompt_part.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+namespace galenapulley
+{
+
+/// A part of a prompt that other prompts may share.
+struct prompt_part
+{
+    std::uint64_t id = 0;
+    /// Number of parts before it.
+    std::uint32_t position = 0;
+};
+
+} // namespace galenapulley
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -4,6 +4,7 @@
 #include "galenapulley/endpoint.hpp"
 #include "galenapulley/error_kind.hpp"
 #include "galenapulley/fleet_load.hpp"
+#include "galenapulley/prompt_part.hpp"
 #include "galenapulley/routing_table.hpp"
 
 #include <cstdint>
@@ -37,6 +38,8 @@
     /// Hash of what stays the same when a client retries: target, account and
     /// body.
     std::uint64_t fingerprint = 0;
+    /// The parts of the prompt that other requests may share.
+    std::vector<prompt_part> shared_parts{};
     /// Endpoints that earlier attempts used or that caused their failure.
     std::vector<endpoint_key> tried{};
     /// Whether this attempt counts against the retry budget.
@@ -104,4 +107,14 @@
 
 std::string_view name_of(attempt_outcome outcome);
 
+/// The end of an attempt at an endpoint.
+struct attempt_result
+{
+    attempt_outcome outcome = attempt_outcome::completed;
+    /// The helper that caused the outcome; 0 if none did.
+    endpoint_key at_fault = 0;
+    /// Events of the stream that the endpoint sent.
+    std::uint64_t events = 0;
+};
+
 } // namespace galenapulley
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "gateway/event_log.hpp"
 #include "gateway/work_message.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -70,6 +71,14 @@
     return out;
 }
 
+std::string joined_ids(const std::vector<prompt_part>& parts)
+{
+    std::string out;
+    for (const auto& it : parts)
+        absl::StrAppend(&out, out.empty() ? "" : ",", absl::Hex(it.id));
+    return out;
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_options options, const clock& time,
@@ -292,6 +301,7 @@
                      running_request{.primary = primary.key,
                                      .endpoints = work.endpoints,
                                      .fingerprint = item.fingerprint,
+                                     .shared_parts = item.shared_parts,
                                      .attempt = item.attempt,
                                      .announce_first_token =
                                          choice.segment_ms > long_prefill_ms});
@@ -384,8 +394,7 @@
     announce_(update);
 }
 
-void dispatcher::on_finished(std::uint64_t id, attempt_outcome outcome,
-                             endpoint_key at_fault)
+void dispatcher::on_finished(std::uint64_t id, const attempt_result& result)
 {
     const auto it = running_.find(id);
     if (it == running_.end())
@@ -393,21 +402,27 @@
     const auto work = std::move(it->second);
     running_.erase(it);
     load_.remove(id, clock_.now());
-    record_failure(work, outcome, at_fault);
+    record_failure(work, result);
     wire::work_update update;
     update.add_ended(id);
-    if (is_failure(outcome))
-        update.add_failed(at_fault == 0 ? work.primary : at_fault);
+    if (is_failure(result.outcome))
+        update.add_failed(failed_endpoint(work, result));
     announce_(update);
     place_waiting();
 }
 
+endpoint_key dispatcher::failed_endpoint(const running_request& work,
+                                         const attempt_result& result)
+{
+    return result.at_fault == 0 ? work.primary : result.at_fault;
+}
+
 void dispatcher::record_failure(const running_request& work,
-                                attempt_outcome outcome, endpoint_key at_fault)
+                                const attempt_result& result)
 {
     const auto now = clock_.now();
-    const auto failed = at_fault == 0 ? work.primary : at_fault;
-    switch (outcome)
+    const auto failed = failed_endpoint(work, result);
+    switch (result.outcome)
     {
     case attempt_outcome::completed:
         registry_.on_success(work.primary);
@@ -420,12 +435,12 @@
         registry_.on_failure(failed, now);
         break;
     case attempt_outcome::not_run:
-        if (at_fault == 0)
+        if (result.at_fault == 0)
         {
             registry_.on_capacity_refusal(work.primary, now);
             return;
         }
-        registry_.on_failure(at_fault, now);
+        registry_.on_failure(result.at_fault, now);
         break;
     case attempt_outcome::memory_refused:
         registry_.on_capacity_refusal(failed, now);
@@ -433,7 +448,7 @@
     case attempt_outcome::broken_before_response:
     case attempt_outcome::broken_response:
         registry_.on_failure(work.primary, now);
-        record_crash(work, outcome);
+        record_crash(work, result);
         break;
     case attempt_outcome::endpoint_error:
     case attempt_outcome::timed_out:
@@ -443,7 +458,7 @@
     if (const auto* known = registry_.find(failed))
         log_.write(log_event::endpoint_avoided,
                    {{"endpoint", std::string_view(known->description.id)},
-                    {"outcome", name_of(outcome)},
+                    {"outcome", name_of(result.outcome)},
                     {"failure_domain",
                      std::string_view(known->description.failure_domain)},
                     {"reported_by", std::string_view()},
@@ -452,7 +467,7 @@
 }
 
 void dispatcher::record_crash(const running_request& work,
-                              attempt_outcome outcome)
+                              const attempt_result& result)
 {
     const auto now = clock_.now();
     const crash_report item{.fingerprint = work.fingerprint,
@@ -460,10 +475,17 @@
                             .at = now};
     crashes_.add(item, now);
     announce_crash_(item);
+    const auto* const known = registry_.find(work.primary);
+    const auto parts = joined_ids(work.shared_parts);
     log_.write(
         log_event::crash_reported,
         {{"request", std::string_view(work.attempt)},
-         {"outcome", name_of(outcome)},
+         {"endpoint", known == nullptr
+                          ? std::string_view()
+                          : std::string_view(known->description.id)},
+         {"outcome", name_of(result.outcome)},
+         {"events", static_cast<std::int64_t>(result.events)},
+         {"shared_parts", std::string_view(parts)},
          {"quarantined", static_cast<std::int64_t>(
                              crashes_.is_quarantined(work.fingerprint, now))}});
 }
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -64,9 +64,7 @@
     /// deadline has passed.
     void cancel(std::uint64_t id);
     void on_first_token(std::uint64_t id);
-    /// `at_fault` is the helper that caused the outcome; 0 if none did.
-    void on_finished(std::uint64_t id, attempt_outcome outcome,
-                     endpoint_key at_fault = 0);
+    void on_finished(std::uint64_t id, const attempt_result& result);
 
     /// Retries the placement of waiting requests and refuses those that can no
     /// longer be served in time.
@@ -106,6 +104,7 @@
         endpoint_key primary = 0;
         std::vector<endpoint_key> endpoints;
         std::uint64_t fingerprint = 0;
+        std::vector<prompt_part> shared_parts;
         std::string attempt;
         /// Set for long prefills, whose end is announced to the other nodes.
         bool announce_first_token = false;
@@ -130,12 +129,16 @@
     void refuse(const dispatch_request& item, dispatch_refusal refusal,
                 const result_callback& done);
     void place_waiting();
-    void record_failure(const running_request& work, attempt_outcome outcome,
-                        endpoint_key at_fault);
+    void record_failure(const running_request& work,
+                        const attempt_result& result);
+    /// The endpoint that caused the end of the attempt.
+    static endpoint_key failed_endpoint(const running_request& work,
+                                        const attempt_result& result);
     retry_budget& budget_of(const std::string& service);
     void count_peer_work(const wire::work_entry& entry);
     void record_peer_failure(endpoint_key key, const std::string& peer);
-    void record_crash(const running_request& work, attempt_outcome outcome);
+    void record_crash(const running_request& work,
+                      const attempt_result& result);
     /// Why the service's endpoints couldn't serve the request in time even if
     /// all of them were idle; empty if they could.
     std::string_view infeasible_reason(const dispatch_request& item) const;
--- a/src/gateway/dispatcher_proxy.cpp
+++ b/src/gateway/dispatcher_proxy.cpp
@@ -37,11 +37,10 @@
     control_.post([this, id] { dispatcher_.on_first_token(id); });
 }
 
-void dispatcher_proxy::on_finished(std::uint64_t id, attempt_outcome outcome,
-                                   endpoint_key at_fault)
+void dispatcher_proxy::on_finished(std::uint64_t id,
+                                   const attempt_result& result)
 {
-    control_.post([this, id, outcome, at_fault]
-                  { dispatcher_.on_finished(id, outcome, at_fault); });
+    control_.post([this, id, result] { dispatcher_.on_finished(id, result); });
 }
 
 } // namespace galenapulley
--- a/src/gateway/dispatcher_proxy.hpp
+++ b/src/gateway/dispatcher_proxy.hpp
@@ -27,9 +27,7 @@
     void request(dispatch_request item, result_callback done);
     void cancel(std::uint64_t id);
     void on_first_token(std::uint64_t id);
-    /// `at_fault` is the helper that caused the outcome; 0 if none did.
-    void on_finished(std::uint64_t id, attempt_outcome outcome,
-                     endpoint_key at_fault = 0);
+    void on_finished(std::uint64_t id, const attempt_result& result);
 
 private:
     control_loop& control_;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -134,6 +134,7 @@
             .received_at = request_.received.received_at,
             .deadline = request_.deadline,
             .fingerprint = request_.fingerprint,
+            .shared_parts = metadata.shared_parts,
             .tried = tried_,
             .is_retry = attempts_ > 0 &&
                         last_outcome_ != attempt_outcome::unreachable &&
@@ -157,7 +158,8 @@
             }
             // The request has ended meanwhile; its slot is released.
             else if (std::holds_alternative<dispatch_grant>(result))
-                dispatch.on_finished(id, attempt_outcome::client_gone);
+                dispatch.on_finished(id,
+                                     {.outcome = attempt_outcome::client_gone});
         });
     return pending;
 }
@@ -179,7 +181,8 @@
     if (end_ != end_reason::none &&
         std::holds_alternative<dispatch_grant>(*pending->result))
     {
-        state_.dispatch.on_finished(id, attempt_outcome::client_gone);
+        state_.dispatch.on_finished(id,
+                                    {.outcome = attempt_outcome::client_gone});
         co_return std::nullopt;
     }
     co_return std::move(pending->result);
@@ -194,6 +197,7 @@
         state_.metrics.observe(request_stage::placement,
                                placed_at_ - request_.received.received_at);
     at_fault_ = 0;
+    const auto events_before = events_sent_;
     expected_first_token_ms_ = grant.expected_first_token_ms;
     connection_ = std::make_shared<endpoint_connection>(state_.io);
     auto outcome = attempt_outcome::completed;
@@ -206,7 +210,10 @@
     if (reservation_)
         std::exchange(reservation_, nullptr)->release();
     state_.metrics.count(outcome);
-    state_.dispatch.on_finished(dispatch_id_, outcome, at_fault_);
+    state_.dispatch.on_finished(dispatch_id_,
+                                {.outcome = outcome,
+                                 .at_fault = at_fault_,
+                                 .events = events_sent_ - events_before});
     tried_.push_back(at_fault_ == 0 ? grant.key : at_fault_);
     last_outcome_ = outcome;
     const auto next = action_after(outcome);
--- a/src/gateway/wire_format.hpp
+++ b/src/gateway/wire_format.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/error_kind.hpp"
+#include "galenapulley/prompt_part.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -31,6 +32,8 @@
     double max_output_tokens = 0;
     /// The client's own estimate of the median.
     std::optional<double> expected_output_tokens{};
+    /// The parts of the prompt that other requests may share, in order.
+    std::vector<prompt_part> shared_parts{};
     /// Id of the last event of the stream that the client has received.
     std::optional<std::uint64_t> last_event{};
 };
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -143,8 +143,9 @@
     BOOST_TEST_REQUIRE(result.has_value());
     const auto& grant = std::get<dispatch_grant>(*result);
     BOOST_TEST_REQUIRE(grant.helpers.size() == 1U);
-    fleet.target.on_finished(fleet.next, attempt_outcome::not_run,
-                             grant.helpers.front().key);
+    fleet.target.on_finished(fleet.next,
+                             {.outcome = attempt_outcome::not_run,
+                              .at_fault = grant.helpers.front().key});
     const auto usable =
         fleet.target.endpoints().usable("svc", fleet.time.now());
     BOOST_TEST_REQUIRE(usable.size() == 1U);
--- a/tests/unit/platform_format_test.cpp
+++ b/tests/unit/platform_format_test.cpp
@@ -167,3 +167,29 @@
     BOOST_TEST((format.read_order_response(500) == order_result::unclear));
     BOOST_TEST((format.read_order_response(503) == order_result::unclear));
 }
+
+// The last part of a prompt belongs to the request alone.
+BOOST_AUTO_TEST_CASE(shared_parts_are_read_without_the_last_one)
+{
+    const platform_format format;
+    const auto parts_of = [&](const std::string& text)
+    {
+        const auto metadata =
+            format.read_request({{"Galenapulley-Attempt-Id", "t1"},
+                                 {"Galenapulley-Prompt-Prefix", text}});
+        BOOST_TEST_REQUIRE(metadata.ok());
+        return metadata->shared_parts;
+    };
+    const auto parts = parts_of("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    BOOST_TEST_REQUIRE(parts.size() == 2U);
+    BOOST_TEST(parts[0].id == 0x5c1e07a2U);
+    BOOST_TEST(parts[1].id == 0x91bd3f06U);
+    BOOST_TEST(parts[1].position == 1U);
+    BOOST_TEST(parts_of("e4402b7d:250").empty());
+    BOOST_TEST(parts_of("").empty());
+    BOOST_TEST(parts_of("not hexadecimal,,").size() == 2U);
+    std::string many;
+    for (int n = 0; n < 1000; ++n)
+        many += std::to_string(n) + ":1,";
+    BOOST_TEST(parts_of(many).size() <= 16U);
+}
