--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -11,6 +11,22 @@
 namespace galenapulley::testing
 {
 
+namespace
+{
+
+constexpr std::string_view stream_headers =
+    "Content-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Whether the request's prompt contains the part.
+bool has_part(const wire_request& request, const std::string& part)
+{
+    const std::string parts(request["Galenapulley-Prompt-Prefix"]);
+    return !part.empty() && parts.find(part + ':') != std::string::npos;
+}
+
+} // namespace
+
 std::string received_request::header(const std::string& name) const
 {
     const auto it = headers.find(name);
@@ -39,6 +55,11 @@
 
 void endpoint_standin::register_entry(const std::string& state)
 {
+    std::uint64_t incarnation = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        incarnation = incarnation_;
+    }
     store_.put("servers", id_,
                nlohmann::json{{"Service", service_},
                               {"Address", server_.address()},
@@ -48,7 +69,7 @@
                               {"State", state},
                               {"ColdRemainingMs", 0},
                               {"Sequence", 1},
-                              {"born", 1}}
+                              {"born", incarnation}}
                    .dump());
 }
 
@@ -171,6 +192,8 @@
                            "Content-Length: 0\r\n\r\n");
     if (behaviour.closes_connection)
         return false;
+    if (has_part(request, behaviour.crashes_on_part))
+        return crash(socket, request);
     if (behaviour.silent)
     {
         wait_for_close(socket);
@@ -187,14 +210,23 @@
                                    "\r\n\r\n" + behaviour.body);
 }
 
+bool endpoint_standin::crash(wire_socket& socket, const wire_request& request)
+{
+    write_bytes(socket, head(request, 200) + std::string(stream_headers));
+    {
+        const std::lock_guard lock(mutex_);
+        ++incarnation_;
+    }
+    register_entry();
+    return false;
+}
+
 bool endpoint_standin::stream(wire_socket& socket, const wire_request& request,
                               const endpoint_behaviour& behaviour)
 {
     if (behaviour.first_event_pause > 0)
         pause_for(behaviour.first_event_pause);
-    if (!write_bytes(socket, head(request, 200) +
-                                 "Content-Type: text/event-stream\r\n"
-                                 "Transfer-Encoding: chunked\r\n\r\n"))
+    if (!write_bytes(socket, head(request, 200) + std::string(stream_headers)))
         return false;
     const std::string after(request["Last-Event-Id"]);
     auto id = after.empty() ? 1 : std::stoull(after) + 1;
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -56,6 +56,9 @@
     bool refuses_memory = false;
     /// Reads orders and sends no response.
     bool ignores_orders = false;
+    /// Id of a prompt part: a prompt with it ends the endpoint before the first
+    /// event, and the endpoint starts again.
+    std::string crashes_on_part{};
 };
 
 /// An order about memory that an endpoint received.
@@ -119,6 +122,8 @@
     bool send_without_end(wire_socket& socket, const wire_request& request,
                           endless_part part);
     std::string head(const wire_request& request, int status) const;
+    /// Ends the endpoint in the middle of the response and starts it again.
+    bool crash(wire_socket& socket, const wire_request& request);
     /// Waits until the peer closes the connection, and counts it.
     void wait_for_close(wire_socket& socket);
 
@@ -134,6 +139,8 @@
     std::map<std::string, reservation> reservations_;
     boot_time_clock time_;
     std::size_t closed_ = 0;
+    /// Number of starts.
+    std::uint64_t incarnation_ = 1;
     wire_server server_;
 };
 
