Gateway: quarantine the part of a prompt that crashes endpoints

Cause: a crash was attributed to the whole request only (path, account and body), so reports of unlike requests never added up; and reports were sent once, so a gateway that started later knew none.

prompt_quarantine attributes each crash to all parts of the prompts that the endpoint held without having begun their response, and explains the crashes by as few parts as possible: never those that an endpoint has begun to answer since, so that sound prompts with the same account and first part go on. Reports go to all live nodes and, by gossip, to those that start later. Waiting requests are refused as well.

--- a/src/galenapulley/endpoint.hpp
+++ b/src/galenapulley/endpoint.hpp
@@ -8,6 +8,9 @@
 namespace galenapulley
 {
 
+/// Identifies one incarnation of an endpoint within the cluster.
+using endpoint_key = std::uint64_t;
+
 /// Self-description of one incarnation of an endpoint.
 struct endpoint
 {
--- a/src/galenapulley/fleet_load.hpp
+++ b/src/galenapulley/fleet_load.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "galenapulley/clock.hpp"
+#include "galenapulley/endpoint.hpp"
 
 #include <cstdint>
 #include <string>
@@ -10,9 +11,6 @@
 namespace galenapulley
 {
 
-/// Identifies one incarnation of an endpoint within the cluster.
-using endpoint_key = std::uint64_t;
-
 /// A request that a node has sent to endpoints.
 struct placed_work
 {
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "gateway/event_log.hpp"
 #include "gateway/work_message.hpp"
 
-#include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -33,7 +32,6 @@
 /// Retry-After of requests refused because all slots are taken.
 constexpr msec retry_after_full = 400;
 constexpr msec retry_after_no_endpoint = 500;
-constexpr msec retry_after_crash = 30'000;
 /// Long, as no endpoint will have more memory soon.
 constexpr msec retry_after_too_large = 30'000;
 constexpr std::size_t max_tracked_fingerprints = 4096;
@@ -71,14 +69,6 @@
     return out;
 }
 
-std::string joined_ids(const std::vector<prompt_part>& parts)
-{
-    std::string out;
-    for (const auto& it : parts)
-        absl::StrAppend(&out, out.empty() ? "" : ",", absl::Hex(it.id));
-    return out;
-}
-
 } // namespace
 
 dispatcher::dispatcher(dispatcher_options options, const clock& time,
@@ -102,13 +92,9 @@
 void dispatcher::request(dispatch_request item, result_callback done)
 {
     const auto now = clock_.now();
-    if (crashes_.is_quarantined(item.fingerprint, now))
+    if (auto refusal = quarantine_refusal(item))
     {
-        refuse(item,
-               {.kind = error_kind::request_quarantined,
-                .reason = "crashed several endpoints",
-                .retry_after = retry_after_crash},
-               done);
+        refuse(item, *std::move(refusal), done);
         return;
     }
     if (const auto reason = infeasible_reason(item); !reason.empty())
@@ -350,13 +336,28 @@
         queue_.remove(id);
 }
 
+void dispatcher::refuse_waiting(std::uint64_t id, dispatch_refusal refusal)
+{
+    const auto it = waiting_.find(id);
+    const auto entry = std::move(it->second);
+    waiting_.erase(it);
+    queue_.remove(id);
+    refuse(entry.item, std::move(refusal), entry.done);
+}
+
 void dispatcher::place_waiting()
 {
     for (const auto id : queue_.ordered(clock_.now()))
     {
         const auto it = waiting_.find(id);
-        if (it == waiting_.end() ||
-            !try_place(it->second.item, it->second.done))
+        if (it == waiting_.end())
+            continue;
+        if (auto refusal = quarantine_refusal(it->second.item))
+        {
+            refuse_waiting(id, *std::move(refusal));
+            continue;
+        }
+        if (!try_place(it->second.item, it->second.done))
             continue;
         queue_.remove(id);
         waiting_.erase(id);
@@ -368,19 +369,10 @@
     if (queue_.empty())
         return;
     place_waiting();
-    const auto now = clock_.now();
-    for (const auto id : queue_.unservable(now))
-    {
-        const auto it = waiting_.find(id);
-        const auto entry = std::move(it->second);
-        waiting_.erase(it);
-        queue_.remove(id);
-        refuse(entry.item,
-               {.kind = error_kind::overloaded,
-                .reason = "no endpoint became free in time",
-                .retry_after = retry_after_full},
-               entry.done);
-    }
+    for (const auto id : queue_.unservable(clock_.now()))
+        refuse_waiting(id, {.kind = error_kind::overloaded,
+                            .reason = "no endpoint became free in time",
+                            .retry_after = retry_after_full});
 }
 
 void dispatcher::on_first_token(std::uint64_t id)
@@ -402,6 +394,8 @@
     const auto work = std::move(it->second);
     running_.erase(it);
     load_.remove(id, clock_.now());
+    if (result.outcome == attempt_outcome::completed && !work.is_sound)
+        quarantine_.on_sound(work.shared_parts, clock_.now());
     record_failure(work, result);
     wire::work_update update;
     update.add_ended(id);
@@ -466,28 +460,4 @@
                     {"until_ms", known->avoid_until - now}});
 }
 
-void dispatcher::record_crash(const running_request& work,
-                              const attempt_result& result)
-{
-    const auto now = clock_.now();
-    const crash_report item{.fingerprint = work.fingerprint,
-                            .crash_id = work.primary + ++last_crash_,
-                            .at = now};
-    crashes_.add(item, now);
-    announce_crash_(item);
-    const auto* const known = registry_.find(work.primary);
-    const auto parts = joined_ids(work.shared_parts);
-    log_.write(
-        log_event::crash_reported,
-        {{"request", std::string_view(work.attempt)},
-         {"endpoint", known == nullptr
-                          ? std::string_view()
-                          : std::string_view(known->description.id)},
-         {"outcome", name_of(result.outcome)},
-         {"events", static_cast<std::int64_t>(result.events)},
-         {"shared_parts", std::string_view(parts)},
-         {"quarantined", static_cast<std::int64_t>(
-                             crashes_.is_quarantined(work.fingerprint, now))}});
-}
-
 } // namespace galenapulley
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "galenapulley/fleet_load.hpp"
 #include "galenapulley/placement_queue.hpp"
 #include "galenapulley/prompt_placement.hpp"
+#include "galenapulley/prompt_quarantine.hpp"
 #include "galenapulley/rate_meter.hpp"
 #include "galenapulley/retry_budget.hpp"
 #include "gateway/dispatch_request.hpp"
@@ -46,6 +47,7 @@
     using result_callback = std::function<void(dispatch_result)>;
     using announce_callback = std::function<void(const wire::work_update&)>;
     using crash_callback = std::function<void(const crash_report&)>;
+    using prompts_callback = std::function<void(const prompt_reports&)>;
 
     dispatcher(dispatcher_options options, const clock& time, event_log& log);
 
@@ -55,6 +57,12 @@
     {
         announce_crash_ = std::move(fn);
     }
+    /// The callback sends reports of prompts that crash endpoints to the other
+    /// nodes.
+    void set_prompts_announce(prompts_callback fn)
+    {
+        announce_prompts_ = std::move(fn);
+    }
     /// The callback is invoked when a request begins to wait and tick() has to
     /// be called periodically.
     void set_wake(std::function<void()> fn) { wake_ = std::move(fn); }
@@ -64,6 +72,9 @@
     /// deadline has passed.
     void cancel(std::uint64_t id);
     void on_first_token(std::uint64_t id);
+    /// The endpoint has sent enough of the response to show that the prompt
+    /// doesn't crash it.
+    void on_sound(std::uint64_t id);
     void on_finished(std::uint64_t id, const attempt_result& result);
 
     /// Retries the placement of waiting requests and refuses those that can no
@@ -87,6 +98,9 @@
     void on_update(const std::string& node, const wire::work_update& message);
     void on_node_lost(const std::string& node);
     void on_crash_report(const crash_report& item);
+    void on_prompt_reports(const prompt_reports& reports);
+    /// What a node that has just started has to learn about prompts.
+    prompt_reports known_prompts() { return quarantine_.reports(clock_.now()); }
 
     const endpoint_registry& endpoints() const { return registry_; }
     const fleet_load& load() const { return load_; }
@@ -105,6 +119,7 @@
         std::vector<endpoint_key> endpoints;
         std::uint64_t fingerprint = 0;
         std::vector<prompt_part> shared_parts;
+        bool is_sound = false;
         std::string attempt;
         /// Set for long prefills, whose end is announced to the other nodes.
         bool announce_first_token = false;
@@ -128,6 +143,10 @@
                const placement_choice& choice, const result_callback& done);
     void refuse(const dispatch_request& item, dispatch_refusal refusal,
                 const result_callback& done);
+    void refuse_waiting(std::uint64_t id, dispatch_refusal refusal);
+    /// Why the request must not be sent to endpoints; absent if it may be.
+    std::optional<dispatch_refusal>
+    quarantine_refusal(const dispatch_request& item);
     void place_waiting();
     void record_failure(const running_request& work,
                         const attempt_result& result);
@@ -139,6 +158,8 @@
     void record_peer_failure(endpoint_key key, const std::string& peer);
     void record_crash(const running_request& work,
                       const attempt_result& result);
+    void report_prompt_crash(const running_request& work);
+    void log_quarantine();
     /// Why the service's endpoints couldn't serve the request in time even if
     /// all of them were idle; empty if they could.
     std::string_view infeasible_reason(const dispatch_request& item) const;
@@ -150,6 +171,7 @@
     event_log& log_;
     announce_callback announce_;
     crash_callback announce_crash_;
+    prompts_callback announce_prompts_;
     std::function<void()> wake_ = [] {
     };
     rate_meter rate_;
@@ -159,6 +181,9 @@
     fleet_load load_;
     placement_queue queue_;
     crash_registry crashes_;
+    prompt_quarantine quarantine_;
+    /// The quarantined parts that the log has last named.
+    std::set<std::uint64_t> logged_parts_;
     /// Retry budgets by service; they count the requests and retries of all
     /// nodes.
     std::map<std::string, retry_budget> budgets_;
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -145,9 +145,4 @@
     place_waiting();
 }
 
-void dispatcher::on_crash_report(const crash_report& item)
-{
-    crashes_.add(item, clock_.now());
-}
-
 } // namespace galenapulley
--- a/src/gateway/dispatcher_proxy.cpp
+++ b/src/gateway/dispatcher_proxy.cpp
@@ -37,6 +37,11 @@
     control_.post([this, id] { dispatcher_.on_first_token(id); });
 }
 
+void dispatcher_proxy::on_sound(std::uint64_t id)
+{
+    control_.post([this, id] { dispatcher_.on_sound(id); });
+}
+
 void dispatcher_proxy::on_finished(std::uint64_t id,
                                    const attempt_result& result)
 {
--- a/src/gateway/dispatcher_proxy.hpp
+++ b/src/gateway/dispatcher_proxy.hpp
@@ -27,6 +27,7 @@
     void request(dispatch_request item, result_callback done);
     void cancel(std::uint64_t id);
     void on_first_token(std::uint64_t id);
+    void on_sound(std::uint64_t id);
     void on_finished(std::uint64_t id, const attempt_result& result);
 
 private:
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -46,6 +46,7 @@
     {peer_lost, "peer_lost", warn},
     {serving_set, "serving_set", info},
     {crash_reported, "strike", warn},
+    {prompts_quarantined, "prompts_quarantined", warn},
     {endpoint_avoided, "endpoint_avoided", warn},
     {request_read, "request_read", debug},
     {placed, "placed", info},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -39,6 +39,7 @@
     peer_lost,
     serving_set,
     crash_reported,
+    prompts_quarantined,
     endpoint_avoided,
     request_read,
     placed,
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -21,6 +21,10 @@
 /// of the time allowed without any bytes.
 constexpr msec partial_event_factor = 2;
 
+/// Events after which a prompt has not crashed its endpoint. The first may be
+/// sent just before the crash.
+constexpr std::uint64_t events_of_sound_prompt = 2;
+
 /// Memory of a response that is buffered, counted with that of the requests.
 class buffered_bytes
 {
@@ -119,7 +123,7 @@
 asio::awaitable<attempt_outcome> forwarding::relay_stream(header_list headers)
 {
     event_splitter splitter;
-    bool announced_first = false;
+    std::uint64_t received = 0;
     // Bytes that complete no event extend the time for one, but not without
     // end.
     auto event_due_at = now() + partial_event_factor * read_timeout();
@@ -134,11 +138,15 @@
         if (!events.empty())
         {
             // A resumed stream must continue with the next event id.
-            if (last_event_ && !announced_first &&
+            if (last_event_ && received == 0 &&
                 splitter.first_id() != *last_event_ + 1)
                 co_return attempt_outcome::broken_response;
-            if (!std::exchange(announced_first, true))
+            ++received;
+            if (received == 1)
                 state_.dispatch.on_first_token(dispatch_id_);
+            if (received == events_of_sound_prompt &&
+                !request_.metadata.shared_parts.empty())
+                state_.dispatch.on_sound(dispatch_id_);
             if (!co_await send_events(headers, events))
                 co_return attempt_outcome::client_gone;
             if (splitter.last_id())
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "galenapulley/crash_registry.hpp"
+#include "gateway/quarantine_message.hpp"
 #include "peer.pb.h"
 
 #include <sys/stat.h>
@@ -110,7 +111,7 @@
 {
     members_.set_serving(false);
     members_.set_payload_callback([this](wire::gossip& message, std::size_t)
-                                  { view_.add_versions(message); });
+                                  { add_gossip_payload(message); });
     dispatcher_.set_announce(
         [this](const wire::work_update& update)
         {
@@ -128,6 +129,13 @@
             entry.set_age_ms(loop_.now() - item.at);
             send_to_live(message);
         });
+    dispatcher_.set_prompts_announce(
+        [this](const prompt_reports& reports)
+        {
+            wire::peer_message message;
+            *message.mutable_prompts() = write_reports(reports, loop_.now());
+            send_to_live(message);
+        });
 }
 
 gateway::~gateway() = default;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -65,6 +65,7 @@
     void check_stopped();
     void reload();
     void gossip();
+    void add_gossip_payload(wire::gossip& message);
     void update_members();
     void update_live(const std::vector<const member*>& members);
     void update_domain_nodes(const std::vector<const member*>& members);
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "galenapulley/crash_registry.hpp"
+#include "gateway/quarantine_message.hpp"
 #include "peer.pb.h"
 
 #include <algorithm>
@@ -30,6 +31,14 @@
     }
 }
 
+void gateway::add_gossip_payload(wire::gossip& message)
+{
+    view_.add_versions(message);
+    const auto reports = dispatcher_.known_prompts();
+    if (!reports.crashes.empty())
+        *message.mutable_prompts() = write_reports(reports, loop_.now());
+}
+
 void gateway::update_members()
 {
     const auto now = loop_.now();
@@ -200,6 +209,9 @@
         if (sender == nullptr)
             return;
         view_.on_gossip(sender->peer_address, message.gossip());
+        if (message.gossip().has_prompts())
+            dispatcher_.on_prompt_reports(
+                read_reports(message.gossip().prompts(), now));
         if (reply == nullptr)
             return;
         wire::peer_message response;
@@ -218,6 +230,9 @@
                                          .crash_id = it.crash_id(),
                                          .at = now - it.age_ms()});
         return;
+    case wire::peer_message::kPrompts:
+        dispatcher_.on_prompt_reports(read_reports(message.prompts(), now));
+        return;
     case wire::peer_message::kRowsPull:
         if (const auto* const sender = members_.find(message.from()))
             view_.on_pull(sender->peer_address, message.rows_pull());
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -54,6 +54,7 @@
     {
         target.set_announce([](const wire::work_update&) {});
         target.set_crash_announce([](const crash_report&) {});
+        target.set_prompts_announce([](const prompt_reports&) {});
         std::vector<endpoint> all;
         for (int n = 1; n <= endpoints; ++n)
             all.push_back({.id = "e" + std::to_string(n),
@@ -259,3 +260,39 @@
     BOOST_TEST(fleet.target.request_rate() > 40);
     BOOST_TEST(fleet.target.request_rate() < 80);
 }
+
+// Guards against prompts that were accepted before their part was quarantined
+// and are sent to endpoints afterwards.
+BOOST_AUTO_TEST_CASE(a_waiting_prompt_with_a_quarantined_part_is_refused)
+{
+    one_endpoint fleet(0);
+    const auto all = fleet.target.endpoints().all().begin()->second.description;
+    fleet.target.set_endpoints({}, true);
+    std::optional<dispatch_result> result;
+    fleet.target.request({.id = 1,
+                          .table = fleet.table,
+                          .matched_route = fleet.table->find("h", "/x"),
+                          .service = "svc",
+                          .prompt_tokens = 500,
+                          .received_at = fleet.time.now(),
+                          .deadline = fleet.time.now() + 15'000,
+                          .shared_parts = {{.id = 7}}},
+                         [&result](dispatch_result it)
+                         { result = std::move(it); });
+    BOOST_TEST(fleet.target.waiting() == 1U);
+    prompt_reports reports;
+    for (endpoint_key n = 1; n <= 5; ++n)
+    {
+        fleet.time.advance(200);
+        reports.crashes.push_back({.endpoint = 100 + n,
+                                   .at = fleet.time.now(),
+                                   .parts = {{.id = 7}}});
+    }
+    fleet.target.on_prompt_reports(reports);
+    fleet.target.set_endpoints({all}, true);
+    BOOST_TEST_REQUIRE(result.has_value());
+    const auto* const refusal = std::get_if<dispatch_refusal>(&*result);
+    BOOST_TEST_REQUIRE(refusal != nullptr);
+    BOOST_TEST((refusal->kind == error_kind::request_quarantined));
+    BOOST_TEST(fleet.target.waiting() == 0U);
+}
