--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -160,7 +160,11 @@
     std::string out = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
     out += "Galenapulley-Attempt-Id: " +
            std::string(request["Galenapulley-Attempt-Id"]) + "\r\n";
-    return out + "Galenapulley-Server-Seal: seal-" + id_ + "\r\n";
+    out += "Galenapulley-Server-Seal: seal-" + id_ + "\r\n";
+    const std::lock_guard lock(mutex_);
+    if (!behaviour_.rate_limit.empty())
+        out += "Server-Limit: " + behaviour_.rate_limit + "\r\n";
+    return out;
 }
 
 bool endpoint_standin::serve(wire_socket& socket, const wire_request& request)
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -59,6 +59,8 @@
     /// Id of a prompt part: a prompt with it ends the endpoint before the first
     /// event, and the endpoint starts again.
     std::string crashes_on_part{};
+    /// Requests per second that its responses name as its limit, if any.
+    std::string rate_limit{};
 };
 
 /// An order about memory that an endpoint received.
