Fleet load: placements count for their second also when the request has ended

Callers may see a cold endpoint crash: the placements of the last second, by which its rate is bounded, were kept with the endpoint's queue and erased with its last running request, so short requests one after the other were not bounded at all.

fleet_load_test ended_requests_count_as_recent_placements failed before (0 of 5 placements counted) and passes now.

--- a/src/galenapulley/fleet_load.cpp
+++ b/src/galenapulley/fleet_load.cpp
@@ -28,15 +28,12 @@
         }
         remove(work.request, now);
     }
+    placements_.add(work.endpoints.front(), now);
     for (const auto key : work.endpoints)
     {
         auto& it = queues_[key];
         advance(it, now);
         it.requests.push_back(work.request);
-        std::erase_if(it.placed_at,
-                      [now](msec at) { return at <= now - recent_window; });
-        if (key == work.endpoints.front())
-            it.placed_at.push_back(now);
         if (work.decoding)
             continue;
         const prefill item{.request = work.request,
@@ -152,6 +149,7 @@
 endpoint_load fleet_load::load_of(endpoint_key key, msec now) const
 {
     endpoint_load load;
+    load.recent_placements = placements_.count(key, recent_window, now);
     const auto it = queues_.find(key);
     if (it == queues_.end())
         return load;
@@ -167,9 +165,6 @@
              .first_token_target_ms =
                  static_cast<double>(work.first_token_target)});
     }
-    load.recent_placements = static_cast<std::uint32_t>(
-        std::count_if(it->second.placed_at.begin(), it->second.placed_at.end(),
-                      [now](msec at) { return at > now - recent_window; }));
     for (const auto request : it->second.requests)
     {
         const auto& work = work_.at(request);
--- a/src/galenapulley/fleet_load.hpp
+++ b/src/galenapulley/fleet_load.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/endpoint.hpp"
+#include "galenapulley/placement_history.hpp"
 
 #include <cstdint>
 #include <string>
@@ -112,7 +113,6 @@
         std::vector<std::uint64_t> requests;
         /// In the order in which the engine prefills them.
         std::vector<prefill> prefills;
-        std::vector<msec> placed_at;
         /// Time up to which the progress of `prefills` is accounted for.
         msec advanced_to = 0;
     };
@@ -127,6 +127,7 @@
 
     std::unordered_map<std::uint64_t, placed_work> work_;
     std::unordered_map<endpoint_key, endpoint_queue> queues_;
+    placement_history placements_;
 };
 
 } // namespace galenapulley
--- /dev/null
+++ b/src/galenapulley/placement_history.cpp
@@ -0,0 +1,36 @@
+#include "galenapulley/placement_history.hpp"
+
+#include <algorithm>
+
+namespace galenapulley
+{
+
+void placement_history::add(endpoint_key key, msec now)
+{
+    expire(now);
+    placed_at_[key].push_back(now);
+}
+
+std::uint32_t placement_history::count(endpoint_key key, msec window,
+                                       msec now) const
+{
+    const auto it = placed_at_.find(key);
+    if (it == placed_at_.end())
+        return 0;
+    const auto first =
+        std::upper_bound(it->second.begin(), it->second.end(), now - window);
+    return static_cast<std::uint32_t>(it->second.end() - first);
+}
+
+void placement_history::expire(msec now)
+{
+    if (now < next_expiry_)
+        return;
+    next_expiry_ = now + memory;
+    for (auto& [key, times] : placed_at_)
+        times.erase(times.begin(),
+                    std::upper_bound(times.begin(), times.end(), now - memory));
+    std::erase_if(placed_at_, [](const auto& it) { return it.second.empty(); });
+}
+
+} // namespace galenapulley
--- a/tests/unit/fleet_load_test.cpp
+++ b/tests/unit/fleet_load_test.cpp
@@ -148,3 +148,17 @@
         }
     }
 }
+
+// Guards against a cold endpoint that gets more than its rate: requests that
+// have ended were placed on it as well.
+BOOST_AUTO_TEST_CASE(ended_requests_count_as_recent_placements)
+{
+    fleet_load load;
+    for (std::uint64_t n = 1; n <= 5; ++n)
+    {
+        load.add(work(n, "n1", {7}, 10), 1000);
+        load.remove(n, 1100);
+    }
+    BOOST_TEST(load.load_of(7, 1900).recent_placements == 5U);
+    BOOST_TEST(load.load_of(7, 2000).recent_placements == 0U);
+}
