Gateway: an endpoint gets no more than the rate limit that it names

The adapter reads it, the registry keeps the latest response's word, and changes go to the nodes that place requests, at once and with the complete announcements every 2 s, so that nodes which start later know them. Placement counts the requests of all nodes in the last 4 s, ended ones included. A response without the limit ends it; the end is announced for 10 s, so that older reports don't restore it.

--- a/src/galenapulley/fleet_load.hpp
+++ b/src/galenapulley/fleet_load.hpp
@@ -93,6 +93,7 @@
     void remove_node(const std::string& node, msec now);
 
     endpoint_load load_of(endpoint_key key, msec now) const;
+    const placement_history& placements() const { return placements_; }
     const placed_work* find(std::uint64_t request) const;
     std::vector<const placed_work*> work_of(const std::string& node) const;
     std::size_t size() const { return work_.size(); }
--- a/src/galenapulley/placement_history.cpp
+++ b/src/galenapulley/placement_history.cpp
@@ -1,6 +1,7 @@
 #include "galenapulley/placement_history.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace galenapulley
 {
@@ -22,6 +23,17 @@
     return static_cast<std::uint32_t>(it->second.end() - first);
 }
 
+bool placement_history::allows(endpoint_key key, double per_second,
+                               msec now) const
+{
+    // An endpoint with a limit of 0 still gets a request now and then, or its
+    // recovery would go unnoticed.
+    const auto in_memory =
+        std::max(1.0, std::ceil(per_second * static_cast<double>(memory) /
+                                static_cast<double>(1_sec)));
+    return count(key, memory, now) < in_memory;
+}
+
 void placement_history::expire(msec now)
 {
     if (now < next_expiry_)
--- a/src/galenapulley/placement_history.hpp
+++ b/src/galenapulley/placement_history.hpp
@@ -19,6 +19,9 @@
     /// Number of placements within the time before `now`, at most `memory`.
     std::uint32_t count(endpoint_key key, msec window, msec now) const;
 
+    /// Whether the endpoint may get another request under a rate limit.
+    bool allows(endpoint_key key, double per_second, msec now) const;
+
     static constexpr msec memory = 4_sec;
 
 private:
--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -137,10 +137,10 @@
 private:
     bool can_run(const placement_candidate& it) const
     {
-        return it.load.running < it.slots && it.load.memory_tokens +
-                                                     request_.prompt_tokens +
-                                                     request_.output_tokens <=
-                                                 engine_.memory_tokens;
+        return it.may_be_primary && it.load.running < it.slots &&
+               it.load.memory_tokens + request_.prompt_tokens +
+                       request_.output_tokens <=
+                   engine_.memory_tokens;
     }
 
     /// Longest pass of an engine that prefills `backlog_ms` while it decodes.
@@ -306,7 +306,7 @@
 
     bool can_hold_segment(const placement_candidate& it) const
     {
-        return it.load.running < it.slots &&
+        return it.may_be_primary && it.load.running < it.slots &&
                free_tokens(it) > request_.output_tokens;
     }
 
@@ -378,7 +378,7 @@
     for (std::size_t n = 0; n < candidates.size(); ++n)
     {
         const auto& it = candidates[n];
-        if (it.load.running >= it.slots)
+        if (!it.may_be_primary || it.load.running >= it.slots)
             continue;
         const double cost =
             static_cast<double>(it.load.running) / std::max(1U, it.slots) +
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -39,6 +39,9 @@
     endpoint_load load{};
     std::uint32_t slots = 1;
     bool same_domain = false;
+    /// Whether it may get the request, or only prefill a segment for another
+    /// endpoint.
+    bool may_be_primary = true;
     /// Random number from 0 to 1 for each pair of request and endpoint, so
     /// that nodes that place requests at the same time choose different ones.
     double jitter = 0;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -206,6 +206,9 @@
              .slots = it->description.slots,
              .same_domain =
                  it->description.failure_domain == options_.failure_domain,
+             .may_be_primary =
+                 !it->rate_limit ||
+                 load_.placements().allows(it->key, *it->rate_limit, now),
              .jitter = std::ldexp(static_cast<double>(jitter), -64)});
     }
     return list;
@@ -258,7 +261,8 @@
     dispatch_grant out{.primary = primary.description,
                        .key = primary.key,
                        .needs_reservation = !choice.reserved_tokens.empty(),
-                       .expected_first_token_ms = choice.first_token_ms};
+                       .expected_first_token_ms = choice.first_token_ms,
+                       .rate_limit = primary.rate_limit};
     placed_work work{.request = item.id,
                      .node = options_.node,
                      .prompt_tokens = item.prompt_tokens,
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -23,6 +23,7 @@
 {
 
 class event_log;
+struct rate_limit_report;
 
 namespace wire
 {
@@ -75,6 +76,8 @@
     /// The endpoint has sent enough of the response to show that the prompt
     /// doesn't crash it.
     void on_sound(std::uint64_t id);
+    /// A response of the endpoint named its rate limit, or none.
+    void on_rate_limit(endpoint_key key, std::optional<double> per_second);
     void on_finished(std::uint64_t id, const attempt_result& result);
 
     /// Retries the placement of waiting requests and refuses those that can no
@@ -156,6 +159,10 @@
     retry_budget& budget_of(const std::string& service);
     void count_peer_work(const wire::work_entry& entry);
     void record_peer_failure(endpoint_key key, const std::string& peer);
+    /// `peer` is empty if this node received the response.
+    bool record_rate_limit(const rate_limit_report& report,
+                           const std::string& peer);
+    void write_rate_limits(wire::work_update& update) const;
     void record_crash(const running_request& work,
                       const attempt_result& result);
     void report_prompt_crash(const running_request& work);
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -21,6 +21,11 @@
 /// Time without announcements after which a node's work is forgotten. Nodes
 /// with work announce it every two seconds.
 constexpr msec silence_limit = 6500;
+/// Time for which the end of an endpoint's rate limit is announced, so that
+/// peers' older reports don't restore it.
+constexpr msec limit_end_memory = 10_sec;
+/// Logged in place of a rate limit that has ended.
+constexpr double no_limit = -1;
 
 } // namespace
 
@@ -64,6 +69,46 @@
          {"until_ms", known.peers_avoid_until - now}});
 }
 
+void dispatcher::on_rate_limit(endpoint_key key,
+                               std::optional<double> per_second)
+{
+    const auto now = clock_.now();
+    const rate_limit_report report{
+        .endpoint = key, .per_second = per_second, .at = now};
+    if (!record_rate_limit(report, {}))
+        return;
+    wire::work_update update;
+    write_rate_limit(report, now, *update.add_rate_limits());
+    announce_(update);
+}
+
+bool dispatcher::record_rate_limit(const rate_limit_report& report,
+                                   const std::string& peer)
+{
+    if (!registry_.on_rate_limit(report.endpoint, report.per_second, report.at))
+        return false;
+    const auto& known = *registry_.find(report.endpoint);
+    log_.write(
+        log_event::rate_limited,
+        {{"endpoint", std::string_view(known.description.id)},
+         {"failure_domain", std::string_view(known.description.failure_domain)},
+         {"per_second", report.per_second.value_or(no_limit)},
+         {"reported_by", std::string_view(peer)}});
+    return true;
+}
+
+void dispatcher::write_rate_limits(wire::work_update& update) const
+{
+    const auto now = clock_.now();
+    for (const auto& [id, it] : registry_.all())
+        if (it.rate_limit_at &&
+            (it.rate_limit || now - *it.rate_limit_at < limit_end_memory))
+            write_rate_limit({.endpoint = it.key,
+                              .per_second = it.rate_limit,
+                              .at = *it.rate_limit_at},
+                             now, *update.add_rate_limits());
+}
+
 wire::work_update dispatcher::all_work() const
 {
     wire::work_update update;
@@ -71,6 +116,7 @@
     const auto now = clock_.now();
     for (const auto* const it : load_.work_of(options_.node))
         write_entry(*it, now, *update.add_placed());
+    write_rate_limits(update);
     return update;
 }
 
@@ -135,6 +181,8 @@
         load_.remove(id, now);
     for (const auto key : message.failed())
         record_peer_failure(key, node);
+    for (const auto& it : message.rate_limits())
+        record_rate_limit(read_rate_limit(it, now), node);
     if (message.ended_size() > 0 || message.complete())
         place_waiting();
 }
--- a/src/gateway/dispatcher_proxy.cpp
+++ b/src/gateway/dispatcher_proxy.cpp
@@ -42,6 +42,13 @@
     control_.post([this, id] { dispatcher_.on_sound(id); });
 }
 
+void dispatcher_proxy::on_rate_limit(endpoint_key key,
+                                     std::optional<double> per_second)
+{
+    control_.post([this, key, per_second]
+                  { dispatcher_.on_rate_limit(key, per_second); });
+}
+
 void dispatcher_proxy::on_finished(std::uint64_t id,
                                    const attempt_result& result)
 {
--- a/src/gateway/dispatcher_proxy.hpp
+++ b/src/gateway/dispatcher_proxy.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace galenapulley
 {
@@ -28,6 +29,7 @@
     void cancel(std::uint64_t id);
     void on_first_token(std::uint64_t id);
     void on_sound(std::uint64_t id);
+    void on_rate_limit(endpoint_key key, std::optional<double> per_second);
     void on_finished(std::uint64_t id, const attempt_result& result);
 
 private:
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -41,6 +41,7 @@
     crash_reported,
     prompts_quarantined,
     endpoint_avoided,
+    rate_limited,
     request_read,
     placed,
     memory_reserved,
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -278,6 +278,7 @@
     const auto metadata =
         state_.format.read_response(connection_->status(), headers);
     record_fault(grant, metadata);
+    record_rate_limit(grant, metadata);
     co_return co_await handle_head(metadata, std::move(headers));
 }
 
@@ -304,6 +305,16 @@
     co_return co_await relay_buffered(std::move(headers));
 }
 
+void forwarding::record_rate_limit(const dispatch_grant& grant,
+                                   const response_metadata& metadata) const
+{
+    const bool is_own =
+        !metadata.replaced && (metadata.attempt.empty() ||
+                               metadata.attempt == request_.metadata.attempt);
+    if (is_own && metadata.rate_limit != grant.rate_limit)
+        state_.dispatch.on_rate_limit(grant.key, metadata.rate_limit);
+}
+
 bool forwarding::is_stream(const header_list& headers) const
 {
     return content_type_of(headers).substr(0, 17) == "text/event-stream";
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -78,6 +78,8 @@
     attempt_outcome outcome_of_reservation();
     void record_fault(const dispatch_grant& grant,
                       const response_metadata& metadata);
+    void record_rate_limit(const dispatch_grant& grant,
+                           const response_metadata& metadata) const;
     boost::asio::awaitable<attempt_outcome>
     exchange(const dispatch_grant& grant);
     boost::asio::awaitable<attempt_outcome>
--- a/src/gateway/wire_format.hpp
+++ b/src/gateway/wire_format.hpp
@@ -63,6 +63,9 @@
     bool is_signed = false;
     /// Address or id of another endpoint that caused the refusal.
     std::string at_fault{};
+    /// Requests per second that the endpoint takes from all nodes together;
+    /// absent if it names no limit.
+    std::optional<double> rate_limit{};
 };
 
 /// Reserves memory at an endpoint, renews the reservation, or releases it.
--- a/src/gateway/work_message.cpp
+++ b/src/gateway/work_message.cpp
@@ -20,6 +20,24 @@
         to.add_held_tokens(static_cast<std::uint32_t>(tokens));
 }
 
+void write_rate_limit(const rate_limit_report& from, msec now,
+                      wire::rate_limit_entry& to)
+{
+    to.set_endpoint(from.endpoint);
+    if (from.per_second)
+        to.set_per_second(*from.per_second);
+    to.set_age_ms(now - from.at);
+}
+
+rate_limit_report read_rate_limit(const wire::rate_limit_entry& from, msec now)
+{
+    rate_limit_report out{.endpoint = from.endpoint(),
+                          .at = now - from.age_ms()};
+    if (from.has_per_second())
+        out.per_second = from.per_second();
+    return out;
+}
+
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now)
 {
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -296,3 +296,111 @@
     BOOST_TEST((refusal->kind == error_kind::request_quarantined));
     BOOST_TEST(fleet.target.waiting() == 0U);
 }
+
+namespace
+{
+
+endpoint_key first_key(const one_endpoint& fleet)
+{
+    return fleet.target.endpoints().all().begin()->second.key;
+}
+
+/// Requests granted in 4 s if one comes every 50 ms and ends at once.
+int granted_in_four_seconds(one_endpoint& fleet)
+{
+    int granted = 0;
+    for (int n = 0; n < 80; ++n)
+    {
+        fleet.time.advance(50);
+        const auto result = fleet.ask(500);
+        if (!result || !std::holds_alternative<dispatch_grant>(*result))
+            continue;
+        ++granted;
+        fleet.target.on_finished(fleet.next,
+                                 {.outcome = attempt_outcome::completed});
+    }
+    return granted;
+}
+
+/// A peer's report of the first endpoint's limit.
+wire::work_update limit_report(const one_endpoint& fleet,
+                               std::optional<double> per_second, msec age)
+{
+    wire::work_update out;
+    auto& entry = *out.add_rate_limits();
+    entry.set_endpoint(first_key(fleet));
+    if (per_second)
+        entry.set_per_second(*per_second);
+    entry.set_age_ms(age);
+    return out;
+}
+
+} // namespace
+
+// Guards against an endpoint in need that gets more than the rate it names.
+BOOST_AUTO_TEST_CASE(an_endpoint_gets_the_rate_that_it_names)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_rate_limit(first_key(fleet), 2.5);
+    BOOST_TEST(granted_in_four_seconds(fleet) == 10);
+    BOOST_TEST(granted_in_four_seconds(fleet) <= 10);
+    fleet.target.on_rate_limit(first_key(fleet), std::nullopt);
+    BOOST_TEST(granted_in_four_seconds(fleet) == 80);
+}
+
+// Guards against nodes that each use the whole limit.
+BOOST_AUTO_TEST_CASE(placements_of_peers_count_against_the_limit)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_update("n2", limit_report(fleet, 2, 0));
+    for (std::uint64_t n = 0; n < 8; ++n)
+    {
+        fleet.target.on_update("n2", announcement(fleet, 1000 + n, false));
+        wire::work_update ended;
+        ended.add_ended(1000 + n);
+        fleet.target.on_update("n2", ended);
+    }
+    BOOST_TEST(!fleet.ask(500).has_value());
+    fleet.time.advance(4000);
+    BOOST_TEST(fleet.ask(500).has_value());
+}
+
+// Guards against a late report that restores a limit which has ended.
+BOOST_AUTO_TEST_CASE(an_older_report_of_a_limit_is_ignored)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_rate_limit(first_key(fleet), 1.0);
+    fleet.time.advance(1000);
+    fleet.target.on_rate_limit(first_key(fleet), std::nullopt);
+    fleet.target.on_update("n2", limit_report(fleet, 1, 500));
+    BOOST_TEST(granted_in_four_seconds(fleet) == 80);
+    BOOST_TEST(fleet.target.all_work().rate_limits_size() == 1);
+    BOOST_TEST(!fleet.target.all_work().rate_limits(0).has_per_second());
+    fleet.time.advance(10'000);
+    BOOST_TEST(fleet.target.all_work().rate_limits_size() == 0);
+}
+
+// Guards against an endpoint with a limit of 0 that never shows its recovery.
+BOOST_AUTO_TEST_CASE(an_endpoint_with_a_limit_of_zero_is_still_asked)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_rate_limit(first_key(fleet), 0.0);
+    BOOST_TEST(granted_in_four_seconds(fleet) == 1);
+}
+
+// Guards against long prompts that wait for engines which may not get another
+// request but can still prefill a segment.
+BOOST_AUTO_TEST_CASE(an_endpoint_at_its_limit_may_be_a_helper)
+{
+    one_endpoint fleet(0, 2);
+    fleet.target.on_rate_limit(first_key(fleet), 0.0);
+    for (int n = 0; n < 4; ++n)
+        fleet.ask(500);
+    const auto result = fleet.ask(420'000);
+    BOOST_TEST_REQUIRE(result.has_value());
+    const auto* const grant = std::get_if<dispatch_grant>(&*result);
+    BOOST_TEST_REQUIRE(grant != nullptr);
+    BOOST_TEST(grant->primary.id == "e2");
+    BOOST_TEST_REQUIRE(grant->helpers.size() == 1U);
+    BOOST_TEST(grant->helpers.front().id == "e1");
+}
--- a/tests/unit/platform_format_test.cpp
+++ b/tests/unit/platform_format_test.cpp
@@ -193,3 +193,17 @@
         many += std::to_string(n) + ":1,";
     BOOST_TEST(parts_of(many).size() <= 16U);
 }
+
+BOOST_AUTO_TEST_CASE(a_rate_limit_is_read_if_it_is_valid)
+{
+    const platform_format format;
+    const auto limit_in = [&](const std::string& text)
+    {
+        return format.read_response(200, {{"server-limit", text}}).rate_limit;
+    };
+    BOOST_TEST((limit_in("2.25") == 2.25));
+    BOOST_TEST((limit_in("0") == 0.0));
+    for (const auto* const text : {"", "-1", "nan", "inf", "many"})
+        BOOST_TEST(!limit_in(text).has_value());
+    BOOST_TEST(!format.read_response(200, {}).rate_limit.has_value());
+}
