Gateway: a crash in mid-stream is not blamed on the request

Cause: each broken attempt counted as a crash under the request's fingerprint, also when the endpoint had been responding for long. An endpoint that crashes under a request does so when it begins the response, so attempts with events count no more, the same test as for parts of prompts.

--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -110,6 +110,10 @@
 
 std::string_view name_of(attempt_outcome outcome);
 
+/// Events after which a request has not crashed its endpoint. The first may be
+/// sent just before the crash.
+constexpr std::uint64_t events_of_sound_request = 2;
+
 /// The end of an attempt at an endpoint.
 struct attempt_result
 {
@@ -118,6 +122,9 @@
     endpoint_key at_fault = 0;
     /// Events of the stream that the endpoint sent.
     std::uint64_t events = 0;
+
+    /// Whether the endpoint had begun the response when the attempt ended.
+    bool began() const { return events >= events_of_sound_request; }
 };
 
 } // namespace galenapulley
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -398,7 +398,7 @@
     const auto work = std::move(it->second);
     running_.erase(it);
     load_.remove(id, clock_.now());
-    if (result.outcome == attempt_outcome::completed && !work.is_sound)
+    if (result.outcome == attempt_outcome::completed && !result.began())
         quarantine_.on_sound(work.shared_parts, clock_.now());
     record_failure(work, result);
     wire::work_update update;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -122,7 +122,6 @@
         std::vector<endpoint_key> endpoints;
         std::uint64_t fingerprint = 0;
         std::vector<prompt_part> shared_parts;
-        bool is_sound = false;
         std::string attempt;
         /// Set for long prefills, whose end is announced to the other nodes.
         bool announce_first_token = false;
@@ -165,6 +164,7 @@
     void write_rate_limits(wire::work_update& update) const;
     void record_crash(const running_request& work,
                       const attempt_result& result);
+    void report_request_crash(const running_request& work);
     void report_prompt_crash(const running_request& work);
     void log_quarantine();
     /// Why the service's endpoints couldn't serve the request in time even if
--- a/src/gateway/dispatcher_crashes.cpp
+++ b/src/gateway/dispatcher_crashes.cpp
@@ -4,8 +4,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <utility>
-
 // Requests and prompts that crash endpoints.
 
 namespace galenapulley
@@ -47,20 +45,19 @@
 void dispatcher::on_sound(std::uint64_t id)
 {
     const auto it = running_.find(id);
-    if (it == running_.end() || std::exchange(it->second.is_sound, true))
-        return;
-    quarantine_.on_sound(it->second.shared_parts, clock_.now());
+    if (it != running_.end())
+        quarantine_.on_sound(it->second.shared_parts, clock_.now());
 }
 
 void dispatcher::record_crash(const running_request& work,
                               const attempt_result& result)
 {
-    const auto now = clock_.now();
-    const crash_report item{.fingerprint = work.fingerprint,
-                            .crash_id = work.primary + ++last_crash_,
-                            .at = now};
-    crashes_.add(item, now);
-    announce_crash_(item);
+    // A request whose response had begun is not the cause.
+    if (!result.began())
+    {
+        report_request_crash(work);
+        report_prompt_crash(work);
+    }
     const auto* const known = registry_.find(work.primary);
     const auto parts = joined_ids(work.shared_parts);
     log_.write(
@@ -72,14 +69,23 @@
          {"outcome", name_of(result.outcome)},
          {"events", static_cast<std::int64_t>(result.events)},
          {"shared_parts", std::string_view(parts)},
-         {"quarantined", static_cast<std::int64_t>(
-                             crashes_.is_quarantined(work.fingerprint, now))}});
-    report_prompt_crash(work);
+         {"quarantined", static_cast<std::int64_t>(crashes_.is_quarantined(
+                             work.fingerprint, clock_.now()))}});
+}
+
+void dispatcher::report_request_crash(const running_request& work)
+{
+    const auto now = clock_.now();
+    const crash_report item{.fingerprint = work.fingerprint,
+                            .crash_id = work.primary + ++last_crash_,
+                            .at = now};
+    crashes_.add(item, now);
+    announce_crash_(item);
 }
 
 void dispatcher::report_prompt_crash(const running_request& work)
 {
-    if (work.is_sound || work.shared_parts.empty())
+    if (work.shared_parts.empty())
         return;
     const auto now = clock_.now();
     const prompt_crash item{
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -21,10 +21,6 @@
 /// of the time allowed without any bytes.
 constexpr msec partial_event_factor = 2;
 
-/// Events after which a prompt has not crashed its endpoint. The first may be
-/// sent just before the crash.
-constexpr std::uint64_t events_of_sound_prompt = 2;
-
 /// Memory of a response that is buffered, counted with that of the requests.
 class buffered_bytes
 {
@@ -144,7 +140,7 @@
             ++received;
             if (received == 1)
                 state_.dispatch.on_first_token(dispatch_id_);
-            if (received == events_of_sound_prompt &&
+            if (received == events_of_sound_request &&
                 !request_.metadata.shared_parts.empty())
                 state_.dispatch.on_sound(dispatch_id_);
             if (!co_await send_events(headers, events))
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -67,7 +67,8 @@
     }
 
     std::optional<dispatch_result> ask(double prompt_tokens,
-                                       bool is_retry = false)
+                                       bool is_retry = false,
+                                       std::uint64_t fingerprint = 0)
     {
         std::optional<dispatch_result> out;
         target.request({.id = ++next,
@@ -79,7 +80,7 @@
                         .output_tokens = 100,
                         .received_at = time.now(),
                         .deadline = time.now() + 15'000,
-                        .fingerprint = next,
+                        .fingerprint = fingerprint == 0 ? next : fingerprint,
                         .is_retry = is_retry},
                        [&out](dispatch_result it) { out = std::move(it); });
         // A later callback would refer to a local variable that is gone.
@@ -404,3 +405,34 @@
     BOOST_TEST_REQUIRE(grant->helpers.size() == 1U);
     BOOST_TEST(grant->helpers.front().id == "e1");
 }
+
+// Guards against refusing a client's sound request, which it repeats after
+// crashes that other requests caused in the middle of the response.
+BOOST_AUTO_TEST_CASE(a_crash_in_mid_stream_is_not_blamed_on_the_request)
+{
+    constexpr std::uint64_t fingerprint = 12'345;
+    one_endpoint fleet(0, 4);
+    const auto end_attempt = [&](std::uint64_t events)
+    {
+        fleet.target.on_finished(
+            fleet.next,
+            {.outcome = attempt_outcome::broken_response, .events = events});
+        fleet.time.advance(5000);
+    };
+    const auto is_granted = [&]
+    {
+        const auto result = fleet.ask(500, false, fingerprint);
+        return result && std::holds_alternative<dispatch_grant>(*result);
+    };
+    for (int n = 0; n < 5; ++n)
+    {
+        BOOST_TEST(is_granted());
+        end_attempt(20);
+    }
+    for (int n = 0; n < 3; ++n)
+    {
+        BOOST_TEST(is_granted());
+        end_attempt(0);
+    }
+    BOOST_TEST(!is_granted());
+}
