Gateway: a node uses its share of the room below a rate limit

Cause: nodes hear of each other's placements after a delay. When a placement left the span of 4 s, all nodes with waiting requests saw the same room and each used it. rate_share lets a node use its part of the room in 100 ms, rounded at random for each node, endpoint and period.

--- a/src/galenapulley/placement_history.cpp
+++ b/src/galenapulley/placement_history.cpp
@@ -6,6 +6,14 @@
 namespace galenapulley
 {
 
+namespace
+{
+
+/// More requests than any endpoint gets; keeps absurd limits in range.
+constexpr double max_room = 1e9;
+
+} // namespace
+
 void placement_history::add(endpoint_key key, msec now)
 {
     expire(now);
@@ -23,15 +31,17 @@
     return static_cast<std::uint32_t>(it->second.end() - first);
 }
 
-bool placement_history::allows(endpoint_key key, double per_second,
-                               msec now) const
+std::uint32_t placement_history::room(endpoint_key key, double per_second,
+                                      msec now) const
 {
     // An endpoint with a limit of 0 still gets a request now and then, or its
     // recovery would go unnoticed.
     const auto in_memory =
         std::max(1.0, std::ceil(per_second * static_cast<double>(memory) /
                                 static_cast<double>(1_sec)));
-    return count(key, memory, now) < in_memory;
+    const auto placed = static_cast<double>(count(key, memory, now));
+    return static_cast<std::uint32_t>(
+        std::clamp(in_memory - placed, 0.0, max_room));
 }
 
 void placement_history::expire(msec now)
--- a/src/galenapulley/placement_history.hpp
+++ b/src/galenapulley/placement_history.hpp
@@ -19,8 +19,8 @@
     /// Number of placements within the time before `now`, at most `memory`.
     std::uint32_t count(endpoint_key key, msec window, msec now) const;
 
-    /// Whether the endpoint may get another request under a rate limit.
-    bool allows(endpoint_key key, double per_second, msec now) const;
+    /// Number of requests that the endpoint still takes under a rate limit.
+    std::uint32_t room(endpoint_key key, double per_second, msec now) const;
 
     static constexpr msec memory = 4_sec;
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -76,6 +76,7 @@
     : options_(std::move(options))
     , clock_(time)
     , log_(log)
+    , rate_share_(options_.node)
     , crashes_(max_tracked_fingerprints, crashes_to_quarantine)
 {
     set_nodes(0, 0);
@@ -187,6 +188,15 @@
            load.recent_placements < cold_rate_share * service->cold_rate;
 }
 
+bool dispatcher::has_room(const known_endpoint& it) const
+{
+    if (!it.rate_limit)
+        return true;
+    const auto now = clock_.now();
+    const auto room = load_.placements().room(it.key, *it.rate_limit, now);
+    return rate_share_.allows(it.key, room, heard_at_.size() + 1, now);
+}
+
 dispatcher::candidate_list
 dispatcher::candidates(const dispatch_request& item) const
 {
@@ -206,9 +216,7 @@
              .slots = it->description.slots,
              .same_domain =
                  it->description.failure_domain == options_.failure_domain,
-             .may_be_primary =
-                 !it->rate_limit ||
-                 load_.placements().allows(it->key, *it->rate_limit, now),
+             .may_be_primary = has_room(*it),
              .jitter = std::ldexp(static_cast<double>(jitter), -64)});
     }
     return list;
@@ -316,6 +324,8 @@
          {"waited_ms", now - item.received_at},
          {"configuration", static_cast<std::int64_t>(item.table->version())}});
     load_.add(std::move(work), now);
+    if (primary.rate_limit)
+        rate_share_.on_placed(primary.key, now);
     announce_(update);
     done(std::move(out));
 }
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "galenapulley/prompt_placement.hpp"
 #include "galenapulley/prompt_quarantine.hpp"
 #include "galenapulley/rate_meter.hpp"
+#include "galenapulley/rate_share.hpp"
 #include "galenapulley/retry_budget.hpp"
 #include "gateway/dispatch_request.hpp"
 
@@ -136,6 +137,8 @@
     };
 
     candidate_list candidates(const dispatch_request& item) const;
+    /// Whether the endpoint's rate limit allows another request of this node.
+    bool has_room(const known_endpoint& it) const;
     bool may_use(const dispatch_request& item, const known_endpoint& it,
                  const endpoint_load& load) const;
     bool try_place(const dispatch_request& item, const result_callback& done);
@@ -186,6 +189,7 @@
     std::map<std::string, msec> heard_at_;
     endpoint_registry registry_;
     fleet_load load_;
+    rate_share rate_share_;
     placement_queue queue_;
     crash_registry crashes_;
     prompt_quarantine quarantine_;
