gateway_retry_test: responses without length or chunks that end with the connection

A response, a stream too, may have no framing of its own. Whole ones are complete for the client; a stream that ends inside an event is resumed or looks incomplete. Both cases pass on the code as it is.

--- a/tests/gateway/gateway_retry_test.cpp
+++ b/tests/gateway/gateway_retry_test.cpp
@@ -126,3 +126,32 @@
     BOOST_TEST(gateway->call(sample_request("GET", "/i/y", "t10")).status ==
                200);
 }
+
+// A response may have neither a length nor chunks and end with its connection.
+BOOST_FIXTURE_TEST_CASE(an_unframed_response_is_complete, one_gateway)
+{
+    set_both({.events = 3, .unframed = true});
+    const auto stream = gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(stream.complete);
+    BOOST_TEST(stream.body.find("data: 3\n\n") != std::string::npos);
+    set_both({.unframed = true});
+    const auto response = gateway->call(sample_request("GET", "/i/x", "t2"));
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.complete);
+    BOOST_TEST(response.body == "content");
+}
+
+// Guards against a stream that looks complete although its last event was cut.
+BOOST_FIXTURE_TEST_CASE(an_unframed_stream_cut_in_an_event_is_resumed,
+                        one_gateway)
+{
+    east.set({.events = 6, .breaks_at = 3, .unframed = true});
+    west.set({.events = 6, .unframed = true});
+    const auto resumed = gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(resumed.complete);
+    BOOST_TEST(resumed.body.find("data: 6\n\n") != std::string::npos);
+    set_both({.events = 6, .breaks_at = 3, .unframed = true});
+    const auto cut = gateway->call(sample_request("POST", "/s/x", "t2"));
+    BOOST_TEST(!cut.complete);
+    BOOST_TEST(cut.body.find("id: 3") == std::string::npos);
+}
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -207,6 +207,12 @@
         return send_without_end(socket, request, behaviour.endless);
     if (behaviour.events > 0)
         return stream(socket, request, behaviour);
+    if (behaviour.unframed)
+    {
+        write_bytes(socket,
+                    head(request, behaviour.status) + "\r\n" + behaviour.body);
+        return false;
+    }
     return write_bytes(socket, head(request, behaviour.status) +
                                    "X-Made: a\r\nX-Made: b\r\n"
                                    "Content-Length: " +
@@ -230,7 +236,12 @@
 {
     if (behaviour.first_event_pause > 0)
         pause_for(behaviour.first_event_pause);
-    if (!write_bytes(socket, head(request, 200) + std::string(stream_headers)))
+    const std::string unframed_headers =
+        "Content-Type: text/event-stream\r\n\r\n";
+    if (!write_bytes(socket,
+                     head(request, 200) + (behaviour.unframed
+                                               ? unframed_headers
+                                               : std::string(stream_headers))))
         return false;
     const std::string after(request["Last-Event-Id"]);
     auto id = after.empty() ? 1 : std::stoull(after) + 1;
@@ -242,14 +253,15 @@
         const auto part = breaks ? event.substr(0, event.size() / 2) : event;
         std::ostringstream chunk;
         chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
-        if (!write_bytes(socket, chunk.str()) || breaks)
+        const auto& bytes = behaviour.unframed ? part : chunk.str();
+        if (!write_bytes(socket, bytes) || breaks)
             return false;
         if (behaviour.event_pause > 0)
             pause_for(behaviour.event_pause);
     }
     if (behaviour.endless != endless_part::none)
         return send_without_end(socket, request, behaviour.endless);
-    return write_bytes(socket, "0\r\n\r\n");
+    return !behaviour.unframed && write_bytes(socket, "0\r\n\r\n");
 }
 
 bool endpoint_standin::send_without_end(wire_socket& socket,
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -47,6 +47,8 @@
     std::uint64_t events = 0;
     /// Id of the event after whose first half the connection is closed.
     std::uint64_t breaks_at = 0;
+    /// Responses have neither a length nor chunks and end with the connection.
+    bool unframed = false;
     msec event_pause = 0;
     msec first_event_pause = 0;
     std::string body = "content";
