--- a/tests/gateway/gateway_cancel_test.cpp
+++ b/tests/gateway/gateway_cancel_test.cpp
@@ -1,5 +1,9 @@
 #include "gateway/one_gateway.hpp"
 
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace galenapulley;
 using namespace galenapulley::testing;
 
@@ -56,3 +60,27 @@
     BOOST_TEST(gateway->call(sample_request("POST", "/n/x", "last")).status ==
                200);
 }
+
+// Guards against a process that ends because a request's timer fires just as
+// the endpoint's response completes.
+BOOST_FIXTURE_TEST_CASE(responses_at_the_deadline_end_no_process, one_gateway)
+{
+    set_both({.responds_at_deadline = true});
+    for (int round = 0; round < 60; ++round)
+    {
+        std::vector<std::unique_ptr<wire_client>> clients;
+        for (int n = 0; n < 8; ++n)
+        {
+            clients.push_back(
+                std::make_unique<wire_client>(gateway->traffic()));
+            const auto id = std::to_string(round * 8 + n);
+            clients.back()->send(
+                sample_request("GET", "/i/" + id, "t" + id, "", "", 40));
+        }
+        for (const auto& it : clients)
+            BOOST_TEST(it->receive().status != 0);
+    }
+    set_both({});
+    BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "last")).status ==
+               200);
+}
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -203,6 +203,8 @@
         wait_for_close(socket);
         return false;
     }
+    if (behaviour.responds_at_deadline)
+        pause_for(std::stoll(std::string(request["Galenapulley-Deadline-Ms"])));
     if (behaviour.endless != endless_part::none && behaviour.events == 0)
         return send_without_end(socket, request, behaviour.endless);
     if (behaviour.events > 0)
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -42,6 +42,8 @@
     bool closes_connection = false;
     /// Reads the request and sends no response.
     bool silent = false;
+    /// Responds when the time that it was given is over.
+    bool responds_at_deadline = false;
     int status = 200;
     /// Number of events of a stream; 0 for a response that is no stream.
     std::uint64_t events = 0;
