Forwarding: a timer that fires as its request ends no longer uses freed memory

Cause found: cancelling the deadline timer has no effect once it has fired and its handler is queued, and the handler then used the request that had just been destroyed. Endpoints answer at the deadline that they are given, so the two often coincide. That this ended the two processes is likely, not shown, so the entry stays on the red list.

gateway_cancel_test responses_at_the_deadline_end_no_process: a build with AddressSanitizer reported heap-use-after-free in forwarding::end and ended in 3 of 3 runs; none in 3 of 3 with the fix. The ordinary build passed before too.

--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -91,9 +91,11 @@
     deadline_timer_.expires_after(
         std::chrono::milliseconds(std::max(time_left(), 0_ms)));
     deadline_timer_.async_wait(
-        [this](const boost::system::error_code& ec)
+        [this, alive = std::weak_ptr<void>(alive_)](
+            const boost::system::error_code& ec)
         {
-            if (!ec)
+            // A timer that has fired already can't be cancelled any more.
+            if (!ec && !alive.expired())
                 end(end_reason::deadline_passed);
         });
 }
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -111,6 +111,8 @@
     client_connection& client_;
     admitted_request request_;
     boost::asio::steady_timer deadline_timer_;
+    /// Expires with this object.
+    std::shared_ptr<void> alive_ = std::make_shared<char>();
     /// Wakes run() when the dispatcher has replied or the request ends.
     boost::asio::steady_timer wake_;
     std::shared_ptr<endpoint_connection> connection_;
