Prompt quarantine: a part with the id 0 no longer ends in an endless loop

A client could hang a gateway: ids of prompt parts are the client's, and 0 stood for a crash that no part explains, so a quarantined part 0 explained none of its crashes and was found again without end.

prompt_quarantine_test a_part_may_have_any_id didn't end before (stopped after 10 s) and passes now.

--- a/src/galenapulley/prompt_quarantine.cpp
+++ b/src/galenapulley/prompt_quarantine.cpp
@@ -85,16 +85,16 @@
 
 void prompt_quarantine::forget_crash()
 {
-    std::map<std::uint64_t, std::size_t> explained;
+    std::map<std::optional<std::uint64_t>, std::size_t> explained;
     for (const auto& [endpoint, it] : crashes_)
         ++explained[it.explained_by];
     // Crashes that a quarantine doesn't need go first, then those that nothing
     // explains.
     const auto rank = [&explained](const crash& it)
     {
-        const bool is_spare = it.explained_by != 0 &&
+        const bool is_spare = it.explained_by &&
                               explained[it.explained_by] > max_reported_crashes;
-        return std::tuple(!is_spare, it.explained_by != 0, it.at);
+        return std::tuple(!is_spare, it.explained_by.has_value(), it.at);
     };
     crashes_.erase(std::min_element(crashes_.begin(), crashes_.end(),
                                     [&rank](const auto& a, const auto& b) {
@@ -116,12 +116,12 @@
     expire(now);
     quarantined_.clear();
     for (auto& [endpoint, it] : crashes_)
-        it.explained_by = 0;
+        it.explained_by.reset();
     while (const auto part = most_suspected(now))
     {
         quarantined_.insert(*part);
         for (auto& [endpoint, it] : crashes_)
-            if (it.explained_by == 0 && it.parts.contains(*part))
+            if (!it.explained_by && it.parts.contains(*part))
                 it.explained_by = *part;
     }
 }
@@ -131,7 +131,7 @@
 {
     std::vector<const crash*> in_order;
     for (const auto& [endpoint, it] : crashes_)
-        if (it.explained_by == 0)
+        if (!it.explained_by)
             in_order.push_back(&it);
     std::sort(in_order.begin(), in_order.end(),
               [](const crash* a, const crash* b) { return a->at < b->at; });
@@ -229,7 +229,7 @@
     std::vector<prompt_crash> out;
     for (const auto& [endpoint, it] : crashes_)
     {
-        if (it.explained_by != 0 || it.at + suspicion_time <= now)
+        if (it.explained_by || it.at + suspicion_time <= now)
             continue;
         prompt_crash item{.endpoint = endpoint, .at = it.at};
         for (const auto& [part, position] : it.parts)
--- a/src/galenapulley/prompt_quarantine.hpp
+++ b/src/galenapulley/prompt_quarantine.hpp
@@ -96,8 +96,8 @@
         msec at = 0;
         /// Positions of the parts by their ids.
         std::map<std::uint64_t, std::uint32_t> parts{};
-        /// The quarantined part that explains the crash; 0 if none does.
-        std::uint64_t explained_by = 0;
+        /// The quarantined part that explains the crash.
+        std::optional<std::uint64_t> explained_by{};
     };
 
     /// Crashes that may be due to one part.
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -198,6 +198,22 @@
     BOOST_TEST(it.is_quarantined(bad));
 }
 
+// Guards against an evaluation without end: clients choose the ids.
+BOOST_AUTO_TEST_CASE(a_part_may_have_any_id)
+{
+    for (const std::uint64_t id : {std::uint64_t{0}, ~std::uint64_t{0}})
+    {
+        sequence it;
+        for (int n = 0; n < 4; ++n)
+        {
+            it.crash({shared_by_all, id});
+            it.serve({shared_by_all});
+        }
+        BOOST_TEST(it.is_quarantined(id));
+        BOOST_TEST(!it.is_quarantined(shared_by_all));
+    }
+}
+
 // Guards against nodes that disagree because reports reached them in different
 // orders or twice.
 RC_BOOST_PROP(order_of_reports_does_not_matter,
