--- a/tests/gateway/gateway_endless_bytes_test.cpp
+++ b/tests/gateway/gateway_endless_bytes_test.cpp
@@ -3,7 +3,6 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
-#include <memory>
 #include <ostream>
 #include <vector>
 
@@ -59,25 +58,6 @@
     BOOST_TEST(gateway->process().peak_memory() < max_memory);
 }
 
-// Many callers at once must not exhaust the memory of the process.
-BOOST_FIXTURE_TEST_CASE(concurrent_endless_responses_are_bounded, one_gateway)
-{
-    set_both({.endless = endless_part::body});
-    std::vector<std::unique_ptr<wire_client>> clients;
-    for (int n = 0; n < 16; ++n)
-    {
-        clients.push_back(std::make_unique<wire_client>(gateway->traffic()));
-        clients.back()->send(
-            sample_request("POST", "/n/x", "t" + std::to_string(n)));
-    }
-    for (const auto& it : clients)
-    {
-        const auto response = it->receive();
-        BOOST_TEST(response.status >= 429);
-    }
-    BOOST_TEST(gateway->process().peak_memory() < max_memory);
-}
-
 BOOST_FIXTURE_TEST_CASE(an_endless_event_is_continued_elsewhere, one_gateway)
 {
     east.set({.endless = endless_part::event});
