Gateway: log the release of reserved memory and how long the endpoint was silent

The log had no line for the release of memory, so a run whose endpoint has gone silent couldn't be told from a late event loop. memory_released names the attempt's outcome and the time since the endpoint last sent anything.

--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -53,6 +53,7 @@
     {placed, "placed", info},
     {memory_reserved, "memory_set_aside", info},
     {memory_refused, "memory_refused", info},
+    {memory_released, "memory_released", info},
     {queued, "queued", info},
     {refused, "refused", info},
     {retried, "sent_again", info},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -46,6 +46,7 @@
     placed,
     memory_reserved,
     memory_refused,
+    memory_released,
     queued,
     refused,
     retried,
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -194,6 +194,7 @@
 forwarding::run_attempt(dispatch_grant grant)
 {
     placed_at_ = now();
+    endpoint_heard_at_ = placed_at_;
     ++attempts_;
     if (attempts_ == 1)
         state_.metrics.observe(request_stage::placement,
@@ -210,7 +211,7 @@
     connection_->cancel();
     connection_.reset();
     if (reservation_)
-        std::exchange(reservation_, nullptr)->release();
+        release_memory(outcome);
     state_.metrics.count(outcome);
     state_.dispatch.on_finished(dispatch_id_,
                                 {.outcome = outcome,
@@ -268,6 +269,7 @@
     if (connected != connection_result::done)
         co_return outcome_of(connected);
     auto text = endpoint_request(grant);
+    endpoint_heard_at_ = now();
     const auto head = co_await connection_->exchange_head(
         std::move(text), request_.received.method == "HEAD", read_timeout());
     if (head != connection_result::done)
@@ -276,6 +278,7 @@
         ++runs_;
         co_return outcome_of(head);
     }
+    endpoint_heard_at_ = now();
     auto headers = connection_->headers();
     const auto metadata =
         state_.format.read_response(connection_->status(), headers);
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -76,6 +76,7 @@
     reserve_memory(dispatch_grant& grant);
     void start_reservation(dispatch_grant& grant);
     attempt_outcome outcome_of_reservation();
+    void release_memory(attempt_outcome outcome);
     void record_fault(const dispatch_grant& grant,
                       const response_metadata& metadata);
     void record_rate_limit(const dispatch_grant& grant,
@@ -134,6 +135,8 @@
     std::optional<std::uint64_t> last_event_;
     std::uint64_t events_sent_ = 0;
     msec placed_at_ = 0;
+    /// When the endpoint last sent anything, or the request was sent to it.
+    msec endpoint_heard_at_ = 0;
     double expected_first_token_ms_ = 0;
     msec last_event_at_ = 0;
     /// Time from the request to its first event.
--- a/src/gateway/forwarding_memory.cpp
+++ b/src/gateway/forwarding_memory.cpp
@@ -64,6 +64,20 @@
                                        : attempt_outcome::unreachable;
 }
 
+void forwarding::release_memory(attempt_outcome outcome)
+{
+    const auto at = now();
+    state_.log.write(
+        log_event::memory_released,
+        {{"request", std::string_view(request_.metadata.attempt)},
+         {"outcome", name_of(outcome)},
+         {"holders", static_cast<std::int64_t>(reservation_->size())},
+         {"tokens", reservation_->tokens()},
+         {"ms", at - placed_at_},
+         {"silent_ms", at - endpoint_heard_at_}});
+    std::exchange(reservation_, nullptr)->release();
+}
+
 void forwarding::record_fault(const dispatch_grant& grant,
                               const response_metadata& metadata)
 {
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -66,6 +66,8 @@
     {
         const auto result =
             co_await connection_->read_some(body, until_deadline());
+        if (result == connection_result::done)
+            endpoint_heard_at_ = now();
         if (result != connection_result::done)
             co_return outcome_of(result);
         if (body.size() > max_buffered_response || !held.grow_to(body.size()))
@@ -128,6 +130,8 @@
         std::string bytes;
         const auto result = co_await connection_->read_some(
             bytes, std::min(read_timeout(), event_due_at - now()));
+        if (!bytes.empty())
+            endpoint_heard_at_ = now();
         const auto events = splitter.feed(bytes);
         if (splitter.is_oversized())
             co_return attempt_outcome::broken_response;
