--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -99,6 +99,8 @@
     void register_entry(const std::string& state = "ready");
     /// Removes the entry from the store.
     void remove_entry();
+    /// Its host loses power; see wire_server::go_dark().
+    void go_dark() { server_.go_dark(); }
     const std::string& id() const { return id_; }
     const std::string& address() const { return server_.address(); }
 
--- a/tests/platform/wire_server.cpp
+++ b/tests/platform/wire_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <limits>
@@ -16,6 +17,20 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+namespace
+{
+
+/// The kernel drops all packets for the socket before TCP handles them.
+void drop_packets(int socket)
+{
+    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{.len = 1, .filter = &drop_all};
+    ::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                 sizeof program);
+}
+
+} // namespace
+
 wire_server::wire_server(handler serve)
     : serve_(std::move(serve))
     , acceptor_(io_, {asio::ip::address_v4::loopback(), 0})
@@ -30,6 +45,15 @@
     stop();
 }
 
+void wire_server::go_dark()
+{
+    drop_packets(acceptor_.native_handle());
+    const std::lock_guard lock(mutex_);
+    for (const auto& it : sockets_)
+        if (const auto socket = it.lock())
+            drop_packets(socket->native_handle());
+}
+
 void wire_server::stop()
 {
     if (stopped_.exchange(true))
--- a/tests/platform/wire_server.hpp
+++ b/tests/platform/wire_server.hpp
@@ -35,6 +35,9 @@
     wire_server& operator=(const wire_server&) = delete;
 
     const std::string& address() const { return address_; }
+    /// From now on its TCP acknowledges nothing, like that of a host without
+    /// power: open connections stay open without a sign, new ones hang.
+    void go_dark();
     /// Closes the listener and all connections.
     void stop();
 
