Gateway: stop holding memory for an endpoint whose host no longer responds

Cause: a gateway learns of the end of a run only from its connection to the endpoint. A dark endpoint closes nothing, so the gateway renewed the reservations until its read timeout, which is long because a busy engine sends nothing either. Silence of a process and silence of its host weren't told apart. In mid-stream it waited until the deadline.

Change: while memory is reserved, the connection is probed with TCP keep-alives and closed after three quarters of the time within which memory has to be free. The kernel of a busy engine answers the probes.

The stand-in now stops sending when its host loses power, as retransmissions kept the connection alive.

--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -99,6 +99,11 @@
     co_return connection_result::done;
 }
 
+void endpoint_connection::limit_silence(msec limit)
+{
+    set_silence_limit(socket_, limit);
+}
+
 asio::awaitable<connection_result>
 endpoint_connection::exchange_head(std::string request, bool head_only,
                                    msec limit)
--- a/src/gateway/endpoint_connection.hpp
+++ b/src/gateway/endpoint_connection.hpp
@@ -41,6 +41,9 @@
 
     boost::asio::awaitable<connection_result>
     connect(const std::string& address, msec limit);
+    /// From now on, fails the pending operation once the endpoint's host has
+    /// acknowledged nothing for about this time.
+    void limit_silence(msec limit);
     /// Sends the request and reads the head of the response, which may arrive
     /// before the whole request is sent.
     boost::asio::awaitable<connection_result>
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -268,6 +268,8 @@
         co_return attempt_outcome::unreachable;
     if (connected != connection_result::done)
         co_return outcome_of(connected);
+    if (reservation_)
+        connection_->limit_silence(reservation_->silence_limit());
     auto text = endpoint_request(grant);
     endpoint_heard_at_ = now();
     const auto head = co_await connection_->exchange_head(
--- a/src/gateway/memory_reservation.cpp
+++ b/src/gateway/memory_reservation.cpp
@@ -25,6 +25,9 @@
 /// Duration of a reservation as a share of the time within which memory has to
 /// be free again; the rest is for the transmission of the order.
 constexpr double ttl_share = 0.85;
+/// The same share for the silence of the endpoint that runs the request; the
+/// rest is for the orders that release the memory.
+constexpr double silence_share = 0.75;
 /// Renewals within the duration of a reservation; all but one may be lost.
 constexpr msec renewals_per_ttl = 3;
 /// Pause between release orders, which are repeated until no earlier order to
@@ -153,6 +156,12 @@
         std::exchange(done_, nullptr)();
 }
 
+msec memory_reservation::silence_limit() const
+{
+    const auto span = static_cast<double>(state_.settings.memory_release);
+    return static_cast<msec>(silence_share * span);
+}
+
 void memory_reservation::release()
 {
     released_ = true;
--- a/src/gateway/memory_reservation.hpp
+++ b/src/gateway/memory_reservation.hpp
@@ -36,6 +36,10 @@
     /// Whether that endpoint refused explicitly.
     bool was_refused() const { return refused_; }
 
+    /// Time after which an endpoint whose host doesn't respond is taken to have
+    /// ended the request, so that the memory is free again in time.
+    msec silence_limit() const;
+
     /// Releases all memory, including reservations that are still pending.
     void release();
 
--- a/src/gateway/socket_options.cpp
+++ b/src/gateway/socket_options.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace galenapulley
@@ -19,6 +20,16 @@
 
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+/// Both in seconds.
+using keep_alive_idle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keep_alive_interval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using keep_alive_probes =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+/// Unanswered probes that close a connection; one may be lost.
+constexpr int probes_before_close = 2;
 
 } // namespace
 
@@ -45,4 +56,20 @@
     socket.set_option(user_timeout(unacknowledged_timeout_ms), ignored);
 }
 
+void set_silence_limit(asio::ip::tcp::socket& socket, msec limit)
+{
+    // The idle time before the first probe, and the pause after each probe.
+    constexpr msec pauses = probes_before_close + 1;
+    const auto pause = std::max(static_cast<int>(limit / pauses / 1_sec), 1);
+    // The user timeout also ends probing; it expires before the last pause
+    // does.
+    const auto unacknowledged = static_cast<int>(limit - limit / (2 * pauses));
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(keep_alive_idle(pause), ignored);
+    socket.set_option(keep_alive_interval(pause), ignored);
+    socket.set_option(keep_alive_probes(probes_before_close), ignored);
+    socket.set_option(user_timeout(unacknowledged), ignored);
+}
+
 } // namespace galenapulley
--- a/src/gateway/socket_options.hpp
+++ b/src/gateway/socket_options.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "galenapulley/clock.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <optional>
@@ -16,4 +18,9 @@
 /// is detected early.
 void set_options(boost::asio::ip::tcp::socket& socket);
 
+/// Closes the connection once the peer's host has acknowledged nothing for
+/// about `limit`, which should be some seconds. An idle connection is probed
+/// with TCP keep-alives, which a host answers however busy its processes are.
+void set_silence_limit(boost::asio::ip::tcp::socket& socket, msec limit);
+
 } // namespace galenapulley
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -78,6 +78,21 @@
     store_.remove("servers", id_);
 }
 
+void endpoint_standin::go_dark()
+{
+    {
+        const std::lock_guard lock(sending_);
+        dark_ = true;
+    }
+    server_.go_dark();
+}
+
+bool endpoint_standin::send_event(wire_socket& socket, const std::string& bytes)
+{
+    const std::lock_guard lock(sending_);
+    return dark_ || write_bytes(socket, bytes);
+}
+
 std::vector<received_request> endpoint_standin::received() const
 {
     const std::lock_guard lock(mutex_);
@@ -256,14 +271,14 @@
         std::ostringstream chunk;
         chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
         const auto& bytes = behaviour.unframed ? part : chunk.str();
-        if (!write_bytes(socket, bytes) || breaks)
+        if (!send_event(socket, bytes) || breaks)
             return false;
         if (behaviour.event_pause > 0)
             pause_for(behaviour.event_pause);
     }
     if (behaviour.endless != endless_part::none)
         return send_without_end(socket, request, behaviour.endless);
-    return !behaviour.unframed && write_bytes(socket, "0\r\n\r\n");
+    return !behaviour.unframed && send_event(socket, "0\r\n\r\n");
 }
 
 bool endpoint_standin::send_without_end(wire_socket& socket,
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -99,8 +99,8 @@
     void register_entry(const std::string& state = "ready");
     /// Removes the entry from the store.
     void remove_entry();
-    /// Its host loses power; see wire_server::go_dark().
-    void go_dark() { server_.go_dark(); }
+    /// Its host loses power in the middle of what it does.
+    void go_dark();
     const std::string& id() const { return id_; }
     const std::string& address() const { return server_.address(); }
 
@@ -126,6 +126,8 @@
                      const endpoint_behaviour& behaviour);
     bool stream(wire_socket& socket, const wire_request& request,
                 const endpoint_behaviour& behaviour);
+    /// Sends a part of a stream, unless the host has lost power.
+    bool send_event(wire_socket& socket, const std::string& bytes);
     /// Sends bytes until the peer closes the connection, and counts it.
     bool send_without_end(wire_socket& socket, const wire_request& request,
                           endless_part part);
@@ -147,6 +149,9 @@
     std::map<std::string, reservation> reservations_;
     boot_time_clock time_;
     std::size_t closed_ = 0;
+    /// Held while an event is sent.
+    std::mutex sending_;
+    bool dark_ = false;
     /// Number of starts.
     std::uint64_t incarnation_ = 1;
     wire_server server_;
--- a/tests/platform/wire_server.cpp
+++ b/tests/platform/wire_server.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 
 #include <linux/filter.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <limits>
@@ -20,9 +22,14 @@
 namespace
 {
 
-/// The kernel drops all packets for the socket before TCP handles them.
+/// The kernel drops all packets for the socket before TCP handles them. Sent
+/// data has to be acknowledged first, or the kernel would send it again.
 void drop_packets(int socket)
 {
+    int unacknowledged = 1;
+    while (::ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 &&
+           unacknowledged > 0)
+        std::this_thread::yield();
     sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
     const sock_fprog program{.len = 1, .filter = &drop_all};
     ::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program,
--- a/tests/platform/wire_server.hpp
+++ b/tests/platform/wire_server.hpp
@@ -36,7 +36,8 @@
 
     const std::string& address() const { return address_; }
     /// From now on its TCP acknowledges nothing, like that of a host without
-    /// power: open connections stay open without a sign, new ones hang.
+    /// power: open connections stay open without a sign, new ones hang. The
+    /// handlers must have stopped writing.
     void go_dark();
     /// Closes the listener and all connections.
     void stop();
