Gateway: read and log the store's era

Versions of the store go back when it is restored from a backup, and the logs didn't show to which history a row's version belongs. The adapter reads the era from the store's responses; store_restored, the configuration line and a gauge show it. Nothing depends on it yet.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -231,6 +231,7 @@
         return;
     }
     on_store_response(table);
+    on_era(response->era.value_or(era_));
     const bool lost = response->history_lost;
     const auto last_change = it.rows.last_change();
     const auto batch = *std::move(response);
@@ -286,6 +287,19 @@
     log_.write(log_event::store_regained, {});
 }
 
+void cluster_view::on_era(std::uint64_t era)
+{
+    if (era <= era_)
+        return;
+    era_ = era;
+    log_.write(log_event::store_restored,
+               {{"era", static_cast<std::int64_t>(era)},
+                {"operations_version",
+                 static_cast<std::int64_t>(version(cluster_table::operations))},
+                {"endpoints_version", static_cast<std::int64_t>(
+                                          version(cluster_table::endpoints))}});
+}
+
 void cluster_view::add_versions(wire::gossip& message) const
 {
     for (const auto& it : tables_)
@@ -422,7 +436,8 @@
     published_routing_ = (*routing)->version();
     log_.write(log_event::configuration,
                {{"version", static_cast<std::int64_t>(published_routing_)},
-                {"row_version", static_cast<std::int64_t>(rows.version())}});
+                {"row_version", static_cast<std::int64_t>(rows.version())},
+                {"store_era", static_cast<std::int64_t>(era_)}});
     on_change_.routing(*std::move(routing));
 }
 
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -80,6 +80,8 @@
     /// enough for endpoints whose entries lapsed to have registered again.
     bool is_authoritative() const;
     bool store_reached() const { return failures_ == 0; }
+    /// How often the store has been restored from a backup, as far as known.
+    std::uint64_t era() const { return era_; }
     /// Whether this node relays the store to its failure domain.
     bool is_relay() const { return relay_role_.is_relay(); }
     msec authoritative_since() const { return reached_since_; }
@@ -138,6 +140,7 @@
     bool apply(cluster_table table, std::uint64_t after, row_batch batch);
     void on_store_failure(cluster_table table, const absl::Status& status);
     void on_store_response(cluster_table table);
+    void on_era(std::uint64_t era);
     void publish(cluster_table table, bool authoritative);
     void publish_operations();
     void publish_endpoints(bool authoritative);
@@ -154,6 +157,7 @@
     /// Consecutive failed requests to the store, over both tables.
     std::uint32_t failures_ = 0;
     msec reached_since_ = 0;
+    std::uint64_t era_ = 0;
     std::uint64_t published_routing_ = 0;
     std::set<std::string> published_withdrawn_;
 };
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -35,6 +35,7 @@
     domains_withdrawn,
     store_lost,
     store_regained,
+    store_restored,
     peer_gained,
     peer_lost,
     serving_set,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -326,6 +326,7 @@
                  view_.age(cluster_table::operations));
     metrics_.set(gauge::endpoints_age_ms, view_.age(cluster_table::endpoints));
     metrics_.set(gauge::store_reached, view_.store_reached() ? 1 : 0);
+    metrics_.set(gauge::store_era, static_cast<std::int64_t>(view_.era()));
     metrics_.set(
         gauge::endpoints_known,
         static_cast<std::int64_t>(dispatcher_.endpoints().all().size()));
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -39,6 +39,7 @@
     operations_age_ms,
     endpoints_age_ms,
     store_reached,
+    store_era,
     endpoints_known,
     live_nodes,
     serving_nodes,
--- a/src/gateway/row_store.hpp
+++ b/src/gateway/row_store.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,9 @@
     std::uint64_t version = 0;
     /// The store no longer has the requested history.
     bool history_lost = false;
+    /// How often the store had been restored from a backup; absent if it
+    /// doesn't say.
+    std::optional<std::uint64_t> era{};
 };
 
 /// Client of the platform's store. Each callback runs once, on the control
