--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -81,6 +81,21 @@
     changed_.notify_all();
 }
 
+store_backup store_standin::backup() const
+{
+    const std::lock_guard lock(mutex_);
+    return {.rows = rows_, .version = version_};
+}
+
+void store_standin::restore(const store_backup& from)
+{
+    const std::lock_guard lock(mutex_);
+    rows_ = from.rows;
+    version_ = from.version;
+    ++era_;
+    changed_.notify_all();
+}
+
 void store_standin::drop_history()
 {
     const std::lock_guard lock(mutex_);
@@ -126,6 +141,22 @@
     return false;
 }
 
+bool store_standin::respond(wire_socket& socket, int status,
+                            const std::string& body)
+{
+    std::uint64_t era = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        era = era_;
+    }
+    return write_bytes(socket,
+                       "HTTP/1.1 " + std::to_string(status) +
+                           " X\r\nContent-Type: application/json\r\n"
+                           "Store-Era: " +
+                           std::to_string(era) + "\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
 bool store_standin::serve(wire_socket& socket, const wire_request& request)
 {
     const std::string target(request.target());
@@ -144,13 +175,13 @@
     if (endless)
         return send_without_end(socket);
     if (path == "/galenapulley/rows-get")
-        return write_json(socket, 200, get_rows(query));
+        return respond(socket, 200, get_rows(query));
     std::pair<int, std::string> out{404, "{}"};
     if (path == "/galenapulley/rows-feed")
         out = watch_rows(query);
     else if (path == "/galenapulley/rows-tx")
         out = change_rows(request.body());
-    return out.first != 0 && write_json(socket, out.first, out.second);
+    return out.first != 0 && respond(socket, out.first, out.second);
 }
 
 std::string store_standin::rows_json(const std::vector<row_key>& keys)
@@ -191,6 +222,7 @@
 {
     std::unique_lock lock(mutex_);
     const auto after = std::stoull(query.at("After"));
+    const auto era = era_;
     const auto changes = [&]
     {
         std::vector<std::pair<std::uint64_t, row_key>> found;
@@ -206,19 +238,19 @@
     };
     const auto interrupted = [&]
     {
-        return stopping_ || mode_ != store_mode::normal ||
-               after < history_from_;
+        return stopping_ || mode_ != store_mode::normal || era != era_ ||
+               after < history_from_ || after > version_;
     };
     ++watchers_[query.at("Table")];
     changed_.wait_for(lock,
                       std::chrono::milliseconds(std::stoi(query.at("WaitMs"))),
                       [&] { return interrupted() || !changes().empty(); });
     --watchers_[query.at("Table")];
-    if (stopping_ || mode_ == store_mode::resetting)
+    if (stopping_ || mode_ == store_mode::resetting || era != era_)
         return {0, ""};
     if (mode_ == store_mode::refusing)
         return {503, "{}"};
-    if (after < history_from_)
+    if (after < history_from_ || after > version_)
         return {410, "{}"};
     return {200, rows_json(changes())};
 }
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -25,6 +25,20 @@
     endless
 };
 
+struct stored_row
+{
+    std::string value;
+    std::uint64_t version = 0;
+    bool deleted = false;
+};
+
+/// Contents of the store at one version, by table and key.
+struct store_backup
+{
+    std::map<std::pair<std::string, std::string>, stored_row> rows;
+    std::uint64_t version = 0;
+};
+
 /// Stand-in of the platform's store that implements its protocol.
 class store_standin
 {
@@ -36,6 +50,11 @@
     void put(const std::string& table, const std::string& key,
              const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    /// The contents of the store, for a later restore().
+    store_backup backup() const;
+    /// Loses everything since the backup: the versions go back to it and are
+    /// given out again. Open watches are cut.
+    void restore(const store_backup& from);
     /// Drops the history, so that watches from earlier versions get 410.
     void drop_history();
     /// Removes a row and drops the history that has the removal.
@@ -46,14 +65,10 @@
     std::size_t watchers(const std::string& table) const;
 
 private:
-    struct row
-    {
-        std::string value;
-        std::uint64_t version = 0;
-        bool deleted = false;
-    };
+    using row = stored_row;
     using row_key = std::pair<std::string, std::string>;
 
+    bool respond(wire_socket& socket, int status, const std::string& body);
     bool serve(wire_socket& socket, const wire_request& request);
     static bool send_without_end(wire_socket& socket);
     std::string get_rows(const std::map<std::string, std::string>& query);
@@ -68,6 +83,8 @@
     std::map<row_key, row> rows_;
     std::uint64_t version_ = 100;
     std::uint64_t history_from_ = 0;
+    /// Number of restores.
+    std::uint64_t era_ = 0;
     std::uint64_t calls_ = 0;
     std::map<std::string, std::size_t> watchers_;
     store_mode mode_ = store_mode::normal;
