Store views: versions belong to an era of the store

Seen: after the store came back from a copy, changes of the configuration stayed without effect for up to 2.6 s, new routes got 404 (CONFIG, DENIED), and requests reached endpoints that were leaving (DRAIN).

Cause: replicas, relays, pulls and gossip compared versions as if the store had one history. A replica at version 46 refused what the restored store said at 43 to 46, and so did its peers; watches after 46 skipped what had come before it. The class of fault: a number from another's counter was used as an order without the counter's incarnation, as with leases or fencing tokens without an epoch.

Change: a version is a pair of era and number (store_version). A replica of an older era is read whole before changes are applied to it; messages between nodes carry the eras. A response that names a newer era makes every table be read again, and endpoints may register anew as after an outage. Messages of earlier builds count as era 0.

--- a/src/galenapulley/cluster_rows.hpp
+++ b/src/galenapulley/cluster_rows.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -17,6 +18,18 @@
 
 constexpr int cluster_table_count = 2;
 
+/// A point in the store's history. A store that is restored from a backup
+/// starts a new era, in which it continues with the version of the backup: it
+/// gives out numbers again that other changes had in the era before.
+struct store_version
+{
+    std::uint64_t era = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const store_version&) const = default;
+};
+
+/// A row's version belongs to the era of the batch or replica that has it.
 struct cluster_row
 {
     std::string key;
@@ -26,33 +39,37 @@
 };
 
 /// A node's replica of one table: all rows as of one version of the store. The
-/// version never decreases, in whatever order responses arrive.
+/// version never decreases, in whatever order responses arrive; a new era
+/// counts as an increase.
 class cluster_rows
 {
 public:
-    /// Version up to which the replica is complete; 0 before the first read.
-    std::uint64_t version() const { return version_; }
+    /// Version up to which the replica is complete; number 0 before the first
+    /// read.
+    store_version version() const { return version_; }
+    bool is_read() const { return version_.number > 0; }
     /// Version of the newest known change, deletions included. Unlike
     /// version(), it converges to the same value on all replicas with the same
     /// rows.
-    std::uint64_t last_change() const { return last_change_; }
+    store_version last_change() const { return last_change_; }
     const std::map<std::string, cluster_row>& rows() const { return rows_; }
 
     /// Replaces all rows, unless `version` is older than the replica. Returns
     /// whether it did.
-    bool replace(std::vector<cluster_row> rows, std::uint64_t version);
+    bool replace(std::vector<cluster_row> rows, store_version version);
     /// Records the version of a change known from elsewhere; versions older
-    /// than last_change() have no effect.
-    void record_change(std::uint64_t version);
-    /// Applies the changes between the versions `after` and `version`. Returns
-    /// false, without any effect, if the replica is older than `after`.
+    /// than last_change() or of another era have no effect.
+    void record_change(store_version version);
+    /// Applies the changes between the version with the number `after` in the
+    /// same era and `version`. Returns false, without any effect, if the
+    /// replica is older than that or belongs to another era.
     bool apply(const std::vector<cluster_row>& changes, std::uint64_t after,
-               std::uint64_t version);
+               store_version version);
 
 private:
     std::map<std::string, cluster_row> rows_;
-    std::uint64_t version_ = 0;
-    std::uint64_t last_change_ = 0;
+    store_version version_;
+    store_version last_change_;
 };
 
 } // namespace galenapulley
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -23,6 +23,21 @@
 /// and changes seldom, so nodes pull it once they know that there is a new one.
 constexpr cluster_table pushed_table = cluster_table::endpoints;
 
+/// The number as a field of the log.
+std::int64_t number_of(store_version version)
+{
+    return static_cast<std::int64_t>(version.number);
+}
+
+/// The newest change of a table that the sender of the message knows.
+store_version last_change_of(const wire::gossip& message, std::size_t table)
+{
+    const auto n = static_cast<int>(table);
+    // Earlier builds send no eras.
+    return {.era = n < message.table_eras_size() ? message.table_eras(n) : 0,
+            .number = message.table_versions(n)};
+}
+
 std::string joined(const std::set<std::string>& names)
 {
     std::string out;
@@ -83,9 +98,12 @@
 wire::rows_relay cluster_view::make_heartbeat() const
 {
     wire::rows_relay message;
-    message.set_newest(state(cluster_table::endpoints).rows.last_change());
-    message.set_newest_operations(
-        state(cluster_table::operations).rows.last_change());
+    const auto endpoints = state(cluster_table::endpoints).rows.last_change();
+    message.set_newest(endpoints.number);
+    message.set_era(endpoints.era);
+    const auto operations = state(cluster_table::operations).rows.last_change();
+    message.set_newest_operations(operations.number);
+    message.set_operations_era(operations.era);
     message.set_dependable(is_authoritative());
     return message;
 }
@@ -100,7 +118,7 @@
     }
 }
 
-void cluster_view::relay(cluster_table table, std::uint64_t after,
+void cluster_view::relay(cluster_table table, store_version after,
                          const row_batch& batch)
 {
     if (!relay_role_.is_relay() || batch.rows.empty())
@@ -111,10 +129,10 @@
         send_relay(make_heartbeat());
 }
 
-void cluster_view::relay_changes(std::uint64_t after, const row_batch& batch)
+void cluster_view::relay_changes(store_version after, const row_batch& batch)
 {
     auto message = make_heartbeat();
-    message.set_after(after);
+    message.set_after(after.number);
     message.set_version(batch.version);
     for (const auto& it : batch.rows)
     {
@@ -137,7 +155,8 @@
                               .version = entry.version(),
                               .deleted = entry.deleted()});
     const auto before = it.rows.last_change();
-    if (it.rows.apply(batch.rows, message.after(), batch.version) &&
+    if (it.rows.apply(batch.rows, message.after(),
+                      {.era = message.era(), .number = batch.version}) &&
         it.rows.last_change() > before)
         publish(pushed_table, message.dependable());
 }
@@ -150,13 +169,16 @@
                                      { return it.rank.node == node; });
     // A relay of an earlier build doesn't follow the operations, so this node
     // watches the store itself.
-    if (sender == domain_nodes_.end() || message.newest_operations() == 0)
+    if (sender == domain_nodes_.end() ||
+        (message.newest_operations() == 0 && message.operations_era() == 0))
         return;
     relay_role_.on_heartbeat(node, loop_.now());
     if (message.version() > 0)
         apply_relayed(message);
-    const std::array<std::uint64_t, cluster_table_count> newest{
-        message.newest_operations(), message.newest()};
+    const std::array<store_version, cluster_table_count> newest{
+        store_version{.era = message.operations_era(),
+                      .number = message.newest_operations()},
+        store_version{.era = message.era(), .number = message.newest()}};
     for (std::size_t n = 0; n < newest.size(); ++n)
     {
         auto& it = tables_[n];
@@ -184,11 +206,16 @@
            loop_.now() - reached_since_ >= endpoint_registry::lapse_grace;
 }
 
-std::uint64_t cluster_view::version(cluster_table table) const
+store_version cluster_view::version(cluster_table table) const
 {
     return state(table).rows.version();
 }
 
+bool cluster_view::is_read(cluster_table table) const
+{
+    return state(table).rows.is_read();
+}
+
 msec cluster_view::age(cluster_table table) const
 {
     return loop_.now() - state(table).last_response_at;
@@ -197,7 +224,8 @@
 void cluster_view::query_store(cluster_table table)
 {
     auto& it = state(table);
-    if (it.needs_read || it.rows.version() == 0)
+    const bool is_outdated = it.rows.version().era < era();
+    if (it.needs_read || is_outdated || !it.rows.is_read())
     {
         store_.read(table, [this, table](absl::StatusOr<row_batch> response)
                     { handle_response(table, 0, std::move(response)); });
@@ -209,7 +237,7 @@
         return;
     }
     it.relies_on_relays = false;
-    const auto after = it.rows.version();
+    const auto after = it.rows.version().number;
     // After a failure, a short watch succeeds as soon as the store is back; a
     // long one would return only at the next change.
     const auto wait = it.failures > 0 ? probe_wait : watch_wait;
@@ -231,30 +259,34 @@
         return;
     }
     on_store_response(table);
-    on_era(response->era.value_or(era_));
-    const bool lost = response->history_lost;
-    const auto last_change = it.rows.last_change();
     const auto batch = *std::move(response);
-    const bool current = !lost && apply(table, after, batch);
+    const auto era = batch.era.value_or(it.rows.version().era);
+    const bool restored = era > it.rows.version().era;
+    on_era(era);
+    const auto last_change = it.rows.last_change();
+    const bool current = !batch.history_lost && apply(table, after, batch, era);
     // The versions in the message include the change.
     if (current && after > 0)
         relay(table, last_change, batch);
+    else if (current && restored && relay_role_.is_relay())
+        send_relay(make_heartbeat());
     it.needs_read = !current;
     // A read may return an older state than the known one; it is retried.
-    const auto pause = !current                ? min_retry_pause
+    const auto pause = !current && restored    ? 0_ms
+                       : !current              ? min_retry_pause
                        : table == pushed_table ? change_pause
                                                : 0_ms;
     loop_.call_after(pause, [this, table] { query_store(table); });
 }
 
 bool cluster_view::apply(cluster_table table, std::uint64_t after,
-                         row_batch batch)
+                         row_batch batch, std::uint64_t era)
 {
     auto& it = state(table);
+    const store_version version{.era = era, .number = batch.version};
     const bool whole = after == 0;
-    const bool current =
-        whole ? it.rows.replace(std::move(batch.rows), batch.version)
-              : it.rows.apply(batch.rows, after, batch.version);
+    const bool current = whole ? it.rows.replace(std::move(batch.rows), version)
+                               : it.rows.apply(batch.rows, after, version);
     if (current && (whole || !batch.rows.empty()))
         publish(table, is_authoritative());
     return current;
@@ -265,14 +297,13 @@
 {
     ++state(table).failures;
     if (failures_++ == 0)
-        log_.write(
-            log_event::store_lost,
-            {{"reason", std::string_view(status.message().data(),
-                                         status.message().size())},
-             {"operations_version",
-              static_cast<std::int64_t>(version(cluster_table::operations))},
-             {"endpoints_version",
-              static_cast<std::int64_t>(version(cluster_table::endpoints))}});
+        log_.write(log_event::store_lost,
+                   {{"reason", std::string_view(status.message().data(),
+                                                status.message().size())},
+                    {"operations_version",
+                     number_of(version(cluster_table::operations))},
+                    {"endpoints_version",
+                     number_of(version(cluster_table::endpoints))}});
 }
 
 void cluster_view::on_store_response(cluster_table table)
@@ -289,21 +320,26 @@
 
 void cluster_view::on_era(std::uint64_t era)
 {
-    if (era <= era_)
+    const auto before = std::exchange(era_, std::max(era, era_.value_or(era)));
+    if (!before || era <= *before)
         return;
-    era_ = era;
-    log_.write(log_event::store_restored,
-               {{"era", static_cast<std::int64_t>(era)},
-                {"operations_version",
-                 static_cast<std::int64_t>(version(cluster_table::operations))},
-                {"endpoints_version", static_cast<std::int64_t>(
-                                          version(cluster_table::endpoints))}});
+    // Endpoints have to register again, as after an outage.
+    reached_since_ = loop_.now();
+    log_.write(
+        log_event::store_restored,
+        {{"era", static_cast<std::int64_t>(era)},
+         {"operations_version", number_of(version(cluster_table::operations))},
+         {"endpoints_version", number_of(version(cluster_table::endpoints))}});
 }
 
 void cluster_view::add_versions(wire::gossip& message) const
 {
     for (const auto& it : tables_)
-        message.add_table_versions(it.rows.last_change());
+    {
+        const auto last_change = it.rows.last_change();
+        message.add_table_versions(last_change.number);
+        message.add_table_eras(last_change.era);
+    }
 }
 
 void cluster_view::pull(std::size_t table, const std::string& peer_address)
@@ -313,12 +349,14 @@
         return;
     it.pulled_at = loop_.now();
     wire::peer_message message;
-    message.mutable_rows_pull()->set_table(static_cast<std::uint32_t>(table));
-    message.mutable_rows_pull()->set_version(it.rows.last_change());
+    auto& request = *message.mutable_rows_pull();
+    request.set_table(static_cast<std::uint32_t>(table));
+    request.set_version(it.rows.last_change().number);
+    request.set_era(it.rows.last_change().era);
     link_.send(peer_address, std::move(message));
 }
 
-void cluster_view::pull_if_behind(std::size_t table, std::uint64_t last_change,
+void cluster_view::pull_if_behind(std::size_t table, store_version last_change,
                                   const std::string& peer_address)
 {
     if (tables_[table].rows.last_change() < last_change)
@@ -335,7 +373,7 @@
     for (std::size_t n = 0; n < known; ++n)
     {
         auto& it = tables_[n];
-        const auto last_change = message.table_versions(static_cast<int>(n));
+        const auto last_change = last_change_of(message, n);
         if (last_change <= it.rows.last_change())
         {
             it.behind_since = 0;
@@ -350,7 +388,7 @@
         }
         if (it.behind_since == 0)
             it.behind_since = now;
-        const bool waits = store_reached() && it.rows.version() > 0 &&
+        const bool waits = store_reached() && it.rows.is_read() &&
                            now - it.behind_since < pull_delay;
         if (!waits)
             pull(n, peer_address);
@@ -363,13 +401,16 @@
     if (message.table() >= tables_.size())
         return;
     const auto& it = tables_[message.table()];
-    if (it.rows.last_change() <= message.version())
+    const store_version known{.era = message.era(),
+                              .number = message.version()};
+    if (it.rows.last_change() <= known)
         return;
     wire::peer_message response;
     auto& push = *response.mutable_rows_push();
     push.set_table(message.table());
-    push.set_version(it.rows.version());
-    push.set_changed(it.rows.last_change());
+    push.set_version(it.rows.version().number);
+    push.set_changed(it.rows.last_change().number);
+    push.set_era(it.rows.version().era);
     push.set_dependable(is_authoritative());
     for (const auto& [key, row] : it.rows.rows())
     {
@@ -386,18 +427,24 @@
     if (message.table() >= tables_.size())
         return;
     auto& it = tables_[message.table()];
-    if (message.changed() <= it.rows.last_change())
+    const store_version changed{.era = message.era(),
+                                .number = message.changed()};
+    if (changed <= it.rows.last_change())
         return;
-    it.rows.record_change(message.changed());
-    if (message.version() <= it.rows.version())
+    it.rows.record_change(changed);
+    const store_version version{.era = message.era(),
+                                .number = message.version()};
+    if (version <= it.rows.version())
         return;
+    on_era(version.era);
     std::vector<cluster_row> rows;
     for (const auto& entry : message.rows())
         rows.push_back({.key = entry.key(),
                         .value = entry.value(),
                         .version = entry.version()});
-    if (!it.rows.replace(std::move(rows), message.version()))
+    if (!it.rows.replace(std::move(rows), version))
         return;
+    it.rows.record_change(changed);
     publish(static_cast<cluster_table>(message.table()), message.dependable());
 }
 
@@ -418,7 +465,7 @@
         const auto names = joined(withdrawn);
         log_.write(log_event::domains_withdrawn,
                    {{"domains", std::string_view(names)},
-                    {"version", static_cast<std::int64_t>(rows.version())}});
+                    {"version", number_of(rows.version())}});
         published_withdrawn_ = withdrawn;
         on_change_.withdrawn(std::move(withdrawn));
     }
@@ -428,7 +475,7 @@
         const auto reason = std::string(routing.status().message());
         log_.write(log_event::configuration_rejected,
                    {{"reason", std::string_view(reason)},
-                    {"version", static_cast<std::int64_t>(rows.version())}});
+                    {"version", number_of(rows.version())}});
         return;
     }
     if (*routing == nullptr || (*routing)->version() <= published_routing_)
@@ -436,8 +483,8 @@
     published_routing_ = (*routing)->version();
     log_.write(log_event::configuration,
                {{"version", static_cast<std::int64_t>(published_routing_)},
-                {"row_version", static_cast<std::int64_t>(rows.version())},
-                {"store_era", static_cast<std::int64_t>(era_)}});
+                {"row_version", number_of(rows.version())},
+                {"store_era", static_cast<std::int64_t>(rows.version().era)}});
     on_change_.routing(*std::move(routing));
 }
 
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -81,11 +82,13 @@
     bool is_authoritative() const;
     bool store_reached() const { return failures_ == 0; }
     /// How often the store has been restored from a backup, as far as known.
-    std::uint64_t era() const { return era_; }
+    std::uint64_t era() const { return era_.value_or(0); }
     /// Whether this node relays the store to its failure domain.
     bool is_relay() const { return relay_role_.is_relay(); }
     msec authoritative_since() const { return reached_since_; }
-    std::uint64_t version(cluster_table table) const;
+    store_version version(cluster_table table) const;
+    /// Whether the table has been read, from the store or from a peer.
+    bool is_read(cluster_table table) const;
     /// Time since the store last responded about the table, to this node or
     /// to a relay node.
     msec age(cluster_table table) const;
@@ -127,17 +130,20 @@
     void send_relay(const wire::rows_relay& message);
     /// Announces what a watch returned: the rows of the endpoints, and of the
     /// operations, which may be large, only the version.
-    void relay(cluster_table table, std::uint64_t after,
+    void relay(cluster_table table, store_version after,
                const row_batch& batch);
-    void relay_changes(std::uint64_t after, const row_batch& batch);
+    void relay_changes(store_version after, const row_batch& batch);
     wire::rows_relay make_heartbeat() const;
     void apply_relayed(const wire::rows_relay& message);
     void pull(std::size_t table, const std::string& peer_address);
-    void pull_if_behind(std::size_t table, std::uint64_t last_change,
+    void pull_if_behind(std::size_t table, store_version last_change,
                         const std::string& peer_address);
     void handle_response(cluster_table table, std::uint64_t after,
                          absl::StatusOr<row_batch> response);
-    bool apply(cluster_table table, std::uint64_t after, row_batch batch);
+    /// Applies a read of the whole table, or with `after` the changes since
+    /// then. Returns whether the replica is up to date.
+    bool apply(cluster_table table, std::uint64_t after, row_batch batch,
+               std::uint64_t era);
     void on_store_failure(cluster_table table, const absl::Status& status);
     void on_store_response(cluster_table table);
     void on_era(std::uint64_t era);
@@ -157,7 +163,8 @@
     /// Consecutive failed requests to the store, over both tables.
     std::uint32_t failures_ = 0;
     msec reached_since_ = 0;
-    std::uint64_t era_ = 0;
+    /// Absent until the store or a peer has named it.
+    std::optional<std::uint64_t> era_;
     std::uint64_t published_routing_ = 0;
     std::set<std::string> published_withdrawn_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -293,7 +293,7 @@
 void gateway::publish_state()
 {
     const bool can_serve = has_routing_ && stop_began_ == 0 &&
-                           view_.version(cluster_table::endpoints) > 0;
+                           view_.is_read(cluster_table::endpoints);
     if (can_serve != serving_)
     {
         serving_ = can_serve;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -13,7 +13,7 @@
     cluster_rows rows;
     rows.replace({{.key = "config", .value = configuration, .version = 3},
                   {.key = "evacuate/east", .value = "{}", .version = 4}},
-                 5);
+                 {.number = 5});
     return rows;
 }
 
@@ -92,7 +92,7 @@
          {.key = "e",
           .value = changed("\"Zone\":\"east\",", ""),
           .version = 1}},
-        2);
+        {.number = 2});
     std::size_t invalid = 0;
     const auto endpoints = platform_codec().read_endpoints(rows, invalid);
     BOOST_TEST_REQUIRE(endpoints.size() == 1U);
