After a restore of the store, endpoints and domains that left stay unused

Cause: what endpoints and operators wrote in the lost seconds is undone by the backup until they have written it again. Draining endpoints are ready again, removed ones and domains in use are back. The gateway took the backup's rows for news.

Change: for 5 s after a restore, in which entries of ended endpoints expire, an endpoint that was draining or removed before stays so, and a domain that was withdrawn stays withdrawn, until it is written again. A new incarnation isn't affected. Removed incarnations are remembered for a minute for that.

--- a/src/galenapulley/endpoint_registry.cpp
+++ b/src/galenapulley/endpoint_registry.cpp
@@ -20,28 +20,24 @@
                                bool authoritative, msec now)
 {
     std::set<std::string> present;
+    forget_removals(now);
     for (const auto& it : entries)
     {
-        present.insert(it.id);
         const auto key = key_of(it);
-        auto& known = all_[it.id];
-        const bool new_incarnation = known.key != key;
-        if (new_incarnation)
-            known = {.description = it, .key = key};
-        const bool was_cold = known.cold_until > now;
-        if (it.cold_remaining > 0 &&
-            (new_incarnation || !was_cold ||
-             it.cold_remaining != known.description.cold_remaining))
-            known.cold_until = now + it.cold_remaining;
-        known.description = it;
-        known.missing_since.reset();
+        if (has_backup_entries(now) && removed_at_.contains(key))
+            continue;
+        present.insert(it.id);
+        update_entry(it, key, now);
     }
     for (auto it = all_.begin(); it != all_.end();)
     {
         if (present.contains(it->first))
             ++it;
         else if (authoritative)
+        {
+            removed_at_[it->second.key] = now;
             it = all_.erase(it);
+        }
         else
         {
             if (!it->second.missing_since)
@@ -51,13 +47,54 @@
     }
 }
 
+void endpoint_registry::update_entry(const endpoint& entry, endpoint_key key,
+                                     msec now)
+{
+    auto& known = all_[entry.id];
+    const bool new_incarnation = known.key != key;
+    if (new_incarnation)
+        known = {.description = entry, .key = key};
+    const bool was_cold = known.cold_until > now;
+    if (entry.cold_remaining > 0 &&
+        (new_incarnation || !was_cold ||
+         entry.cold_remaining != known.description.cold_remaining))
+        known.cold_until = now + entry.cold_remaining;
+    const bool was_draining = known.description.draining;
+    known.description = entry;
+    if (was_draining && has_backup_entries(now))
+        known.description.draining = true;
+    known.missing_since.reset();
+}
+
 void endpoint_registry::drop_missing(bool authoritative,
                                      msec authoritative_since, msec now)
 {
     if (!authoritative || now - authoritative_since < lapse_grace)
         return;
-    std::erase_if(all_, [](const auto& it)
-                  { return it.second.missing_since.has_value(); });
+    std::erase_if(all_,
+                  [this, now](const auto& it)
+                  {
+                      const bool missing = it.second.missing_since.has_value();
+                      if (missing)
+                          removed_at_[it.second.key] = now;
+                      return missing;
+                  });
+}
+
+void endpoint_registry::on_store_restored(msec now)
+{
+    restored_at_ = now;
+}
+
+bool endpoint_registry::has_backup_entries(msec now) const
+{
+    return restored_at_ && now - *restored_at_ < backup_entry_lifetime;
+}
+
+void endpoint_registry::forget_removals(msec now)
+{
+    std::erase_if(removed_at_, [now](const auto& it)
+                  { return now - it.second > removal_memory; });
 }
 
 known_endpoint* endpoint_registry::lookup(endpoint_key key)
--- a/src/galenapulley/endpoint_registry.hpp
+++ b/src/galenapulley/endpoint_registry.hpp
@@ -54,6 +54,11 @@
     /// authoritative for lapse_grace.
     void drop_missing(bool authoritative, msec authoritative_since, msec now);
 
+    /// The store was restored from a backup. Until the entries in it that
+    /// belong to ended endpoints have expired, an endpoint that was draining or
+    /// removed before stays so, whatever its entry says.
+    void on_store_restored(msec now);
+
     /// An attempt couldn't reach the endpoint, or its connection broke.
     void on_failure(endpoint_key key, msec now);
     /// A peer reports a failed attempt. Counts only if two different peers
@@ -82,6 +87,12 @@
     /// Time within which endpoints renew expired entries after an outage of the
     /// store.
     static constexpr msec lapse_grace = 2500;
+    /// Time after a restore of the store within which the entries of endpoints
+    /// that no longer run expire.
+    static constexpr msec backup_entry_lifetime = 5000;
+    /// Time for which removed endpoints are remembered; longer than a backup is
+    /// old.
+    static constexpr msec removal_memory = 60'000;
     /// Pause after the first failed attempt; doubles with each further one.
     static constexpr msec first_pause = 200;
     static constexpr msec max_pause = 3000;
@@ -100,8 +111,15 @@
 private:
     known_endpoint* lookup(endpoint_key key);
     static msec pause_after(std::uint32_t failures);
+    void update_entry(const endpoint& entry, endpoint_key key, msec now);
+    /// Whether entries may be older than what is known of their endpoints.
+    bool has_backup_entries(msec now) const;
+    void forget_removals(msec now);
 
     std::map<std::string, known_endpoint> all_;
+    /// When incarnations were removed.
+    std::map<endpoint_key, msec> removed_at_;
+    std::optional<msec> restored_at_;
 };
 
 endpoint_key key_of(const endpoint& value);
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -323,13 +323,33 @@
     const auto before = std::exchange(era_, std::max(era, era_.value_or(era)));
     if (!before || era <= *before)
         return;
-    // Endpoints have to register again, as after an outage.
-    reached_since_ = loop_.now();
     log_.write(
         log_event::store_restored,
         {{"era", static_cast<std::int64_t>(era)},
          {"operations_version", number_of(version(cluster_table::operations))},
          {"endpoints_version", number_of(version(cluster_table::endpoints))}});
+    on_restored();
+}
+
+void cluster_view::on_restored()
+{
+    // Endpoints have to register again, as after an outage.
+    reached_since_ = loop_.now();
+    withdrawn_before_restore_ = published_withdrawn_;
+    on_change_.store_restored();
+    loop_.call_after(endpoint_registry::backup_entry_lifetime,
+                     [this, restored_era = era()]
+                     {
+                         if (restored_era == era())
+                             on_backup_entries_expired();
+                     });
+}
+
+void cluster_view::on_backup_entries_expired()
+{
+    withdrawn_before_restore_.clear();
+    publish_operations();
+    publish_endpoints(is_authoritative());
 }
 
 void cluster_view::add_versions(wire::gossip& message) const
@@ -456,10 +476,21 @@
         publish_operations();
 }
 
+std::set<std::string> cluster_view::read_withdrawn()
+{
+    auto out = codec_.read_withdrawn(state(cluster_table::operations).rows);
+    // What is written again counts like any other row from now on.
+    for (const auto& it : out)
+        withdrawn_before_restore_.erase(it);
+    out.insert(withdrawn_before_restore_.begin(),
+               withdrawn_before_restore_.end());
+    return out;
+}
+
 void cluster_view::publish_operations()
 {
     const auto& rows = state(cluster_table::operations).rows;
-    auto withdrawn = codec_.read_withdrawn(rows);
+    auto withdrawn = read_withdrawn();
     if (withdrawn != published_withdrawn_)
     {
         const auto names = joined(withdrawn);
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -56,6 +56,9 @@
         /// deleted ones, not ones whose entry has only lapsed.
         std::function<void(std::vector<endpoint>, bool authoritative)>
             endpoints;
+        /// The store was restored from a backup. The next rows may be older
+        /// than what they replace.
+        std::function<void()> store_restored;
     };
 
     cluster_view(ranked_node self, control_loop& loop, row_store& store,
@@ -147,6 +150,10 @@
     void on_store_failure(cluster_table table, const absl::Status& status);
     void on_store_response(cluster_table table);
     void on_era(std::uint64_t era);
+    void on_restored();
+    /// The rows say again what is in force.
+    void on_backup_entries_expired();
+    std::set<std::string> read_withdrawn();
     void publish(cluster_table table, bool authoritative);
     void publish_operations();
     void publish_endpoints(bool authoritative);
@@ -167,6 +174,9 @@
     std::optional<std::uint64_t> era_;
     std::uint64_t published_routing_ = 0;
     std::set<std::string> published_withdrawn_;
+    /// Domains that were withdrawn when the store was restored, as long as the
+    /// operators may still have to write that again.
+    std::set<std::string> withdrawn_before_restore_;
 };
 
 } // namespace galenapulley
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -95,6 +95,8 @@
     void set_endpoints(const std::vector<endpoint>& entries,
                        bool authoritative);
     void drop_missing(bool authoritative, msec authoritative_since);
+    /// The store was restored from a backup, so entries may be outdated.
+    void on_store_restored();
     void set_withdrawn(std::set<std::string> domains);
     /// Number of other nodes that are live, and that are known.
     void set_nodes(std::size_t live, std::size_t known);
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -150,6 +150,11 @@
     registry_.drop_missing(authoritative, authoritative_since, clock_.now());
 }
 
+void dispatcher::on_store_restored()
+{
+    registry_.on_store_restored(clock_.now());
+}
+
 void dispatcher::set_withdrawn(std::set<std::string> domains)
 {
     withdrawn_ = std::move(domains);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,10 +85,12 @@
             {.routing = [this](auto it) { set_routing(std::move(it)); },
              .withdrawn = [this](auto it)
              { dispatcher_.set_withdrawn(std::move(it)); },
-             .endpoints =
-                 [this](const auto& it, bool authoritative)
+             .endpoints = [this](const auto& it, bool authoritative)
+             { dispatcher_.set_endpoints(it, authoritative); },
+             .store_restored =
+                 [this]
              {
-                 dispatcher_.set_endpoints(it, authoritative);
+                 dispatcher_.on_store_restored();
              }})
     , dispatcher_proxy_(loop_, dispatcher_, traffic_io_)
     , traffic_{.io = traffic_io_,
--- a/tests/unit/endpoint_registry_test.cpp
+++ b/tests/unit/endpoint_registry_test.cpp
@@ -142,3 +142,26 @@
             registry.on_peer_failure(it.key, peer, 1000);
     BOOST_TEST(usable(registry, 1010) == 3U);
 }
+
+// Guards against new work for endpoints that drain or have left, but are ready
+// in the backup from which the store was restored.
+BOOST_AUTO_TEST_CASE(entries_of_a_backup_dont_bring_endpoints_back)
+{
+    constexpr auto lifetime = endpoint_registry::backup_entry_lifetime;
+    endpoint_registry registry;
+    auto leaving = entry("a");
+    leaving.draining = true;
+    registry.update({leaving, entry("b"), entry("c")}, true, 0);
+    registry.update({leaving, entry("c")}, true, 10);
+    registry.on_store_restored(1000);
+    registry.update({entry("a"), entry("b"), entry("c")}, false, 1000);
+    BOOST_TEST(usable(registry, 1000) == 1U);
+    // A new incarnation isn't the one that left.
+    registry.update({entry("a"), entry("b", "10.0.0.1:80", 2), entry("c")},
+                    false, 2000);
+    BOOST_TEST(usable(registry, 2000) == 2U);
+    // Entries that are left by then belong to running endpoints.
+    registry.update({entry("a"), entry("b"), entry("c")}, true,
+                    1000 + lifetime);
+    BOOST_TEST(usable(registry, 1000 + lifetime) == 3U);
+}
