Store views: a configuration that the store has lost stays in force on new nodes

Seen (gateway_restored_configuration_test, failed before): a node that started after the store was restored from a backup put the backup's older configuration in force and answered 404 on a route that had been confirmed and that its peers served.

Cause: a node with the newer configuration kept it in force, but its rows were those of the backup, so it had nothing to pass on.

Change: a node keeps the row of the configuration in force when a restored store has only an older one, says so in gossip, and adds the row to the rows that peers pull. It is dropped when the store's configuration is at least as new.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -38,6 +38,22 @@
             .number = message.table_versions(n)};
 }
 
+void write_row(const cluster_row& row, wire::table_row& entry)
+{
+    entry.set_key(row.key);
+    entry.set_value(row.value);
+    entry.set_version(row.version);
+    entry.set_deleted(row.deleted);
+}
+
+cluster_row read_row(const wire::table_row& entry)
+{
+    return {.key = entry.key(),
+            .value = entry.value(),
+            .version = entry.version(),
+            .deleted = entry.deleted()};
+}
+
 std::string joined(const std::set<std::string>& names)
 {
     std::string out;
@@ -135,13 +151,7 @@
     message.set_after(after.number);
     message.set_version(batch.version);
     for (const auto& it : batch.rows)
-    {
-        auto& entry = *message.add_rows();
-        entry.set_key(it.key);
-        entry.set_value(it.value);
-        entry.set_version(it.version);
-        entry.set_deleted(it.deleted);
-    }
+        write_row(it, *message.add_rows());
     send_relay(message);
 }
 
@@ -150,10 +160,7 @@
     auto& it = state(pushed_table);
     row_batch batch{.version = message.version()};
     for (const auto& entry : message.rows())
-        batch.rows.push_back({.key = entry.key(),
-                              .value = entry.value(),
-                              .version = entry.version(),
-                              .deleted = entry.deleted()});
+        batch.rows.push_back(read_row(entry));
     const auto before = it.rows.last_change();
     if (it.rows.apply(batch.rows, message.after(),
                       {.era = message.era(), .number = batch.version}) &&
@@ -336,6 +343,11 @@
     // Endpoints have to register again, as after an outage.
     reached_since_ = loop_.now();
     withdrawn_before_restore_ = published_withdrawn_;
+    // Until the operations' rows show that the store still has it.
+    const auto* const configuration =
+        codec_.configuration_row(state(cluster_table::operations).rows);
+    if (configuration != nullptr && !lost_configuration_)
+        lost_configuration_ = *configuration;
     on_change_.store_restored();
     loop_.call_after(endpoint_registry::backup_entry_lifetime,
                      [this, restored_era = era()]
@@ -360,6 +372,8 @@
         message.add_table_versions(last_change.number);
         message.add_table_eras(last_change.era);
     }
+    if (lost_configuration_)
+        message.set_lost_configuration(published_routing_);
 }
 
 void cluster_view::pull(std::size_t table, const std::string& peer_address)
@@ -373,6 +387,7 @@
     request.set_table(static_cast<std::uint32_t>(table));
     request.set_version(it.rows.last_change().number);
     request.set_era(it.rows.last_change().era);
+    request.set_configuration(published_routing_);
     link_.send(peer_address, std::move(message));
 }
 
@@ -390,6 +405,8 @@
         tables_.size(),
         static_cast<std::size_t>(message.table_versions_size()));
     const auto now = loop_.now();
+    if (message.lost_configuration() > published_routing_)
+        pull(index_of(cluster_table::operations), peer_address);
     for (std::size_t n = 0; n < known; ++n)
     {
         auto& it = tables_[n];
@@ -423,7 +440,9 @@
     const auto& it = tables_[message.table()];
     const store_version known{.era = message.era(),
                               .number = message.version()};
-    if (it.rows.last_change() <= known)
+    const bool wants_configuration =
+        lost_configuration_ && message.configuration() < published_routing_;
+    if (it.rows.last_change() <= known && !wants_configuration)
         return;
     wire::peer_message response;
     auto& push = *response.mutable_rows_push();
@@ -433,12 +452,9 @@
     push.set_era(it.rows.version().era);
     push.set_dependable(is_authoritative());
     for (const auto& [key, row] : it.rows.rows())
-    {
-        auto& entry = *push.add_rows();
-        entry.set_key(row.key);
-        entry.set_value(row.value);
-        entry.set_version(row.version);
-    }
+        write_row(row, *push.add_rows());
+    if (wants_configuration)
+        write_row(*lost_configuration_, *push.mutable_lost_configuration());
     link_.send(peer_address, std::move(response));
 }
 
@@ -446,6 +462,8 @@
 {
     if (message.table() >= tables_.size())
         return;
+    if (message.has_lost_configuration())
+        adopt_lost_configuration(read_row(message.lost_configuration()));
     auto& it = tables_[message.table()];
     const store_version changed{.era = message.era(),
                                 .number = message.changed()};
@@ -459,9 +477,7 @@
     on_era(version.era);
     std::vector<cluster_row> rows;
     for (const auto& entry : message.rows())
-        rows.push_back({.key = entry.key(),
-                        .value = entry.value(),
-                        .version = entry.version()});
+        rows.push_back(read_row(entry));
     if (!it.rows.replace(std::move(rows), version))
         return;
     it.rows.record_change(changed);
@@ -509,14 +525,36 @@
                     {"version", number_of(rows.version())}});
         return;
     }
-    if (*routing == nullptr || (*routing)->version() <= published_routing_)
+    if (*routing == nullptr || (*routing)->version() < published_routing_)
         return;
-    published_routing_ = (*routing)->version();
+    lost_configuration_.reset();
+    if ((*routing)->version() > published_routing_)
+        publish_routing(*std::move(routing));
+}
+
+void cluster_view::publish_routing(std::shared_ptr<const routing_table> routing)
+{
+    const auto& rows = state(cluster_table::operations).rows;
+    published_routing_ = routing->version();
     log_.write(log_event::configuration,
                {{"version", static_cast<std::int64_t>(published_routing_)},
                 {"row_version", number_of(rows.version())},
-                {"store_era", static_cast<std::int64_t>(rows.version().era)}});
-    on_change_.routing(*std::move(routing));
+                {"store_era", static_cast<std::int64_t>(rows.version().era)},
+                {"lost_by_store",
+                 static_cast<std::int64_t>(lost_configuration_.has_value())}});
+    on_change_.routing(std::move(routing));
+}
+
+void cluster_view::adopt_lost_configuration(cluster_row row)
+{
+    cluster_rows rows;
+    rows.replace({row}, {.number = row.version});
+    auto routing = codec_.read_routing(rows);
+    if (!routing.ok() || *routing == nullptr ||
+        (*routing)->version() <= published_routing_)
+        return;
+    lost_configuration_ = std::move(row);
+    publish_routing(*std::move(routing));
 }
 
 void cluster_view::publish_endpoints(bool authoritative)
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -156,6 +156,9 @@
     std::set<std::string> read_withdrawn();
     void publish(cluster_table table, bool authoritative);
     void publish_operations();
+    void publish_routing(std::shared_ptr<const routing_table> routing);
+    /// Decodes a configuration's row and puts it in force if it is newer.
+    void adopt_lost_configuration(cluster_row row);
     void publish_endpoints(bool authoritative);
 
     control_loop& loop_;
@@ -173,6 +176,9 @@
     /// Absent until the store or a peer has named it.
     std::optional<std::uint64_t> era_;
     std::uint64_t published_routing_ = 0;
+    /// The configuration in force, if the store was restored from a backup that
+    /// has only an older one. Nodes that start meanwhile get it from here.
+    std::optional<cluster_row> lost_configuration_;
     std::set<std::string> published_withdrawn_;
     /// Domains that were withdrawn when the store was restored, as long as the
     /// operators may still have to write that again.
--- a/src/gateway/row_store.hpp
+++ b/src/gateway/row_store.hpp
@@ -61,6 +61,9 @@
 public:
     virtual ~row_codec() = default;
 
+    /// The row that holds the configuration; null if there is none.
+    virtual const cluster_row*
+    configuration_row(const cluster_rows& operations) const = 0;
     /// The configuration in force; null if there is none yet.
     virtual absl::StatusOr<std::shared_ptr<const routing_table>>
     read_routing(const cluster_rows& operations) const = 0;
