Gateway: register the node's address again after a restore of the store

Seen (a_node_registers_its_address_again, failed before): a relay node whose address the store had lost wasn't registered any more, so that a node whose seeds are stale can't find the fleet.

Cause: a node registers once.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,7 +90,7 @@
              .store_restored =
                  [this]
              {
-                 dispatcher_.on_store_restored();
+                 on_store_restored();
              }})
     , dispatcher_proxy_(loop_, dispatcher_, traffic_io_)
     , traffic_{.io = traffic_io_,
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -81,6 +81,7 @@
     void update_gauges();
     void join_cluster();
     void register_address();
+    void on_store_restored();
 
     void receive(const wire::peer_message& message);
     void send_to_live(const wire::peer_message& message);
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -195,6 +195,14 @@
                        });
 }
 
+void gateway::on_store_restored()
+{
+    dispatcher_.on_store_restored();
+    // The backup may lack this node.
+    if (registered_)
+        register_address();
+}
+
 void gateway::receive(const wire::peer_message& message)
 {
     if (message.from() == settings_.node)
--- a/tests/gateway/gateway_restored_store_test.cpp
+++ b/tests/gateway/gateway_restored_store_test.cpp
@@ -80,3 +80,21 @@
     BOOST_TEST(eventually([&] { return status_of(other, "/new/x") == 200; },
                           2 * apply_limit));
 }
+
+// Guards against a node that new nodes can't find, since the restored store has
+// lost its address.
+BOOST_AUTO_TEST_CASE(a_node_registers_its_address_again)
+{
+    store_standin store;
+    store.put("op", "config", sample_configuration(1));
+    const auto backup = store.backup();
+    const gateway_process gateway("n1", "east", store.address(), {});
+    const auto is_registered = [&]
+    {
+        return store.contains("nodes", "n1");
+    };
+    BOOST_TEST_REQUIRE(eventually(is_registered));
+    store.restore(backup);
+    BOOST_TEST(!is_registered());
+    BOOST_TEST(eventually(is_registered));
+}
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -119,6 +119,14 @@
     changed_.notify_all();
 }
 
+bool store_standin::contains(const std::string& table,
+                             const std::string& key) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = rows_.find({table, key});
+    return it != rows_.end() && !it->second.deleted;
+}
+
 std::uint64_t store_standin::calls() const
 {
     const std::lock_guard lock(mutex_);
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -61,6 +61,7 @@
     void remove_with_history(const std::string& table, const std::string& key);
     void set_mode(store_mode mode);
     std::uint64_t calls() const;
+    bool contains(const std::string& table, const std::string& key) const;
     /// Number of open watches of a table.
     std::size_t watchers(const std::string& table) const;
 
