A node that regains the store trusts it as soon as its relay does

Cause: after an outage, missing entries may be ones that lapsed, so a node keeps their endpoints for 2.5 s after it has regained the store.

Change: a heartbeat of a relay node that has reached the store for long enough, in the same era, counts for the node as well.

Evidence: gateway_regained_store_test failed before (3 of 3), passes now (3 of 3).

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -180,6 +180,11 @@
         (message.newest_operations() == 0 && message.operations_era() == 0))
         return;
     relay_role_.on_heartbeat(node, loop_.now());
+    // The relay has reached the store for long enough, so entries that lapsed
+    // are back, even if this node has only just regained it.
+    if (message.dependable() && message.era() == era())
+        reached_since_ = std::min(reached_since_,
+                                  loop_.now() - endpoint_registry::lapse_grace);
     if (message.version() > 0)
         apply_relayed(message);
     const std::array<store_version, cluster_table_count> newest{
--- /dev/null
+++ b/tests/gateway/gateway_regained_store_test.cpp
@@ -0,0 +1,58 @@
+#include "gateway/one_gateway.hpp"
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+namespace
+{
+
+/// Time in which a node must stop using an endpoint whose entry is removed.
+constexpr msec drain_limit = 2000;
+
+/// Two nodes of one domain, of which the second loses the store for a while: it
+/// uses a replica of the store with the same rows and versions.
+struct two_nodes : one_gateway
+{
+    store_standin replica{store.backup()};
+    std::unique_ptr<gateway_process> other;
+
+    two_nodes()
+    {
+        other = std::make_unique<gateway_process>(
+            "n2", "east", replica.address(), std::vector{gateway->peer()});
+        BOOST_TEST_REQUIRE(other->wait_until_ready());
+    }
+
+    bool other_reaches_store() const
+    {
+        return other->metrics().find("galenapulley_store_reached 1") !=
+               std::string::npos;
+    }
+
+    bool other_avoids(const endpoint_standin& unused) const
+    {
+        const auto before = unused.received().size();
+        for (int n = 0; n < 4; ++n)
+            if (other->call(sample_request("GET", "/i/x", "t")).status != 200)
+                return false;
+        return unused.received().size() == before;
+    }
+};
+
+} // namespace
+
+// Guards against requests to a removed endpoint: a node that has just regained
+// the store took each missing entry for one that would return, although its
+// peers had reached the store all the while.
+BOOST_FIXTURE_TEST_CASE(an_entry_removed_after_the_store_is_regained_is_dropped,
+                        two_nodes)
+{
+    replica.set_mode(store_mode::refusing);
+    BOOST_TEST_REQUIRE(eventually([this] { return !other_reaches_store(); }));
+    pause_for(3000);
+    replica.set_mode(store_mode::normal);
+    BOOST_TEST_REQUIRE(eventually([this] { return other_reaches_store(); }));
+    east.remove_entry();
+    replica.remove("servers", "i-east");
+    BOOST_TEST(eventually([this] { return other_avoids(east); }, drain_limit));
+}
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -56,6 +56,13 @@
 {
 }
 
+store_standin::store_standin(store_backup contents) : store_standin()
+{
+    const std::lock_guard lock(mutex_);
+    rows_ = std::move(contents.rows);
+    version_ = contents.version;
+}
+
 store_standin::~store_standin()
 {
     {
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -44,6 +44,8 @@
 {
 public:
     store_standin();
+    /// A replica of another store.
+    explicit store_standin(store_backup contents);
     ~store_standin();
 
     std::string address() const { return server_.address(); }
