--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -180,11 +180,8 @@
         (message.newest_operations() == 0 && message.operations_era() == 0))
         return;
     relay_role_.on_heartbeat(node, loop_.now());
-    // The relay has reached the store for long enough, so entries that lapsed
-    // are back, even if this node has only just regained it.
-    if (message.dependable() && message.era() == era())
-        reached_since_ = std::min(reached_since_,
-                                  loop_.now() - endpoint_registry::lapse_grace);
+    if (message.dependable())
+        on_dependable_peer(message.era());
     if (message.version() > 0)
         apply_relayed(message);
     const std::array<store_version, cluster_table_count> newest{
@@ -377,10 +374,19 @@
         message.add_table_versions(last_change.number);
         message.add_table_eras(last_change.era);
     }
+    message.set_dependable(is_authoritative());
     if (lost_configuration_)
         message.set_lost_configuration(published_routing_);
 }
 
+void cluster_view::on_dependable_peer(std::uint64_t era)
+{
+    // A peer that hasn't noticed the latest restore doesn't count.
+    if (era == this->era())
+        reached_since_ = std::min(reached_since_,
+                                  loop_.now() - endpoint_registry::lapse_grace);
+}
+
 void cluster_view::pull(std::size_t table, const std::string& peer_address)
 {
     auto& it = tables_[table];
@@ -410,6 +416,9 @@
         tables_.size(),
         static_cast<std::size_t>(message.table_versions_size()));
     const auto now = loop_.now();
+    if (message.dependable() && known == tables_.size())
+        on_dependable_peer(
+            last_change_of(message, index_of(cluster_table::endpoints)).era);
     if (message.lost_configuration() > published_routing_)
         pull(index_of(cluster_table::operations), peer_address);
     for (std::size_t n = 0; n < known; ++n)
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -150,6 +150,9 @@
     void on_store_failure(cluster_table table, const absl::Status& status);
     void on_store_response(cluster_table table);
     void on_era(std::uint64_t era);
+    /// A peer has reached the store for long enough. Then entries that lapsed
+    /// are back, even if this node has only just regained the store.
+    void on_dependable_peer(std::uint64_t era);
     void on_restored();
     /// The rows say again what is in force.
     void on_backup_entries_expired();
