--- a/src/galenapulley/cluster_rows.hpp
+++ b/src/galenapulley/cluster_rows.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -18,6 +19,11 @@
 
 constexpr int cluster_table_count = 2;
 
+constexpr std::size_t index_of(cluster_table table)
+{
+    return static_cast<std::size_t>(table);
+}
+
 /// A point in the store's history. A store that is restored from a backup
 /// starts a new era, in which it continues with the version of the backup: it
 /// gives out numbers again that other changes had in the era before.
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -111,6 +111,11 @@
     static constexpr msec pull_interval = 500;
 
 private:
+    /// The table whose changes relay nodes send along. A configuration may be
+    /// large and changes seldom, so nodes pull it once they know that there is
+    /// a new one.
+    static constexpr cluster_table pushed_table = cluster_table::endpoints;
+
     struct table_state
     {
         cluster_rows rows;
@@ -137,6 +142,9 @@
                const row_batch& batch);
     void relay_changes(store_version after, const row_batch& batch);
     wire::rows_relay make_heartbeat() const;
+    /// Tells the failure domain that this node follows the store, and the
+    /// newest versions.
+    void send_heartbeat();
     void apply_relayed(const wire::rows_relay& message);
     void pull(std::size_t table, const std::string& peer_address);
     void pull_if_behind(std::size_t table, store_version last_change,
--- a/tests/gateway/gateway_restored_endpoints_test.cpp
+++ b/tests/gateway/gateway_restored_endpoints_test.cpp
@@ -115,7 +115,8 @@
     {
         return gateway->call(sample_request("GET", "/i/x", "t")).status == 200;
     };
-    BOOST_TEST_REQUIRE(eventually(serves));
+    BOOST_TEST_REQUIRE(
+        eventually([&] { return serves() && !late.received().empty(); }));
     store.restore(backup);
     BOOST_TEST_REQUIRE(notices_restore());
     const auto before = late.received().size();
