--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -80,6 +80,13 @@
            loop_.now() - reached_since_ >= endpoint_registry::lapse_grace;
 }
 
+bool cluster_view::is_dependable() const
+{
+    const auto since = state(cluster_table::endpoints).followed_since;
+    return is_authoritative() && since &&
+           loop_.now() - *since >= endpoint_registry::lapse_grace;
+}
+
 store_version cluster_view::version(cluster_table table) const
 {
     return state(table).rows.version();
@@ -108,6 +115,7 @@
     if (it.failures == 0 && !relay_role_.must_watch(loop_.now()))
     {
         it.relies_on_relays = true;
+        it.followed_since.reset();
         return;
     }
     it.relies_on_relays = false;
@@ -170,6 +178,7 @@
                                     const absl::Status& status)
 {
     ++state(table).failures;
+    state(table).followed_since.reset();
     if (failures_++ == 0)
         log_.write(log_event::store_lost,
                    {{"reason", std::string_view(status.message().data(),
@@ -185,6 +194,7 @@
     auto& it = state(table);
     it.failures = 0;
     it.last_response_at = loop_.now();
+    it.followed_since = it.followed_since.value_or(loop_.now());
     if (failures_ == 0)
         return;
     failures_ = 0;
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -86,6 +86,9 @@
     bool store_reached() const { return failures_ == 0; }
     /// How often the store has been restored from a backup, as far as known.
     std::uint64_t era() const { return era_.value_or(0); }
+    /// Whether this node can vouch for the endpoints: it has followed them at
+    /// the store itself for long enough.
+    bool is_dependable() const;
     /// Whether this node relays the store to its failure domain.
     bool is_relay() const { return relay_role_.is_relay(); }
     msec authoritative_since() const { return reached_since_; }
@@ -124,6 +127,9 @@
         msec behind_since = 0;
         msec pulled_at = 0;
         std::uint32_t failures = 0;
+        /// Since when this node's own requests have succeeded without a
+        /// failure; absent if it relies on relay nodes.
+        std::optional<msec> followed_since{};
         bool needs_read = true;
         /// No watch is open; relay nodes send the changes.
         bool relies_on_relays = false;
--- a/src/gateway/cluster_view_peers.cpp
+++ b/src/gateway/cluster_view_peers.cpp
@@ -156,15 +156,16 @@
         message.add_table_versions(last_change.number);
         message.add_table_eras(last_change.era);
     }
-    message.set_dependable(is_authoritative());
+    message.set_dependable(is_dependable());
     if (lost_configuration_)
         message.set_lost_configuration(published_routing_);
 }
 
 void cluster_view::on_dependable_peer(std::uint64_t era)
 {
-    // A peer that hasn't noticed the latest restore doesn't count.
-    if (era == this->era())
+    // A peer that hasn't noticed the latest restore doesn't count, and this
+    // node needs current endpoints of its own first.
+    if (era == this->era() && state(cluster_table::endpoints).failures == 0)
         reached_since_ = std::min(reached_since_,
                                   loop_.now() - endpoint_registry::lapse_grace);
 }
--- a/tests/gateway/gateway_regained_store_test.cpp
+++ b/tests/gateway/gateway_regained_store_test.cpp
@@ -56,3 +56,30 @@
     replica.remove("servers", "i-east");
     BOOST_TEST(eventually([this] { return other_avoids(east); }, drain_limit));
 }
+
+// Guards against dropping endpoints whose entries lapsed in an outage, because
+// a peer vouches for the store that has only just regained it, too.
+BOOST_FIXTURE_TEST_CASE(endpoints_that_lapsed_in_an_outage_of_all_stay,
+                        two_nodes)
+{
+    pause_for(3000);
+    for (auto* const it : {&store, &replica})
+        it->set_mode(store_mode::refusing);
+    BOOST_TEST_REQUIRE(eventually([this] { return !other_reaches_store(); }));
+    pause_for(1000);
+    for (auto* const it : {&store, &replica})
+    {
+        it->remove("servers", "i-east");
+        it->remove("servers", "i-west");
+        it->set_mode(store_mode::normal);
+    }
+    BOOST_TEST_REQUIRE(eventually([this] { return other_reaches_store(); }));
+    const boot_time_clock time;
+    for (const auto end = time.now() + 1500; time.now() < end;)
+    {
+        for (const auto* const it : {gateway.get(), other.get()})
+            BOOST_TEST(it->call(sample_request("GET", "/i/x", "t")).status ==
+                       200);
+        pause_for(100);
+    }
+}
