Store views: rows of the former era don't drop a lost configuration

Found in review: the end of the 5 s after a restore publishes the rows again. A node that hadn't read the operations in the new era by then took its own old row for the store's, dropped the configuration that it keeps for new nodes, and had none left once it read the backup's.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -220,7 +220,7 @@
     // Endpoints have to register again, as after an outage.
     reached_since_ = loop_.now();
     withdrawn_before_restore_ = published_withdrawn_;
-    // Until the operations' rows show that the store still has it.
+    // Kept until rows of the new era show that the store still has it.
     const auto* const configuration =
         codec_.configuration_row(state(cluster_table::operations).rows);
     if (configuration != nullptr && !lost_configuration_)
@@ -284,7 +284,8 @@
     }
     if (*routing == nullptr || (*routing)->version() < published_routing_)
         return;
-    lost_configuration_.reset();
+    if (rows.version().era == era())
+        lost_configuration_.reset();
     if ((*routing)->version() > published_routing_)
         publish_routing(*std::move(routing));
 }
