--- a/tests/gateway/gateway_regained_store_test.cpp
+++ b/tests/gateway/gateway_regained_store_test.cpp
@@ -28,15 +28,6 @@
         return other->metrics().find("galenapulley_store_reached 1") !=
                std::string::npos;
     }
-
-    bool other_avoids(const endpoint_standin& unused) const
-    {
-        const auto before = unused.received().size();
-        for (int n = 0; n < 4; ++n)
-            if (other->call(sample_request("GET", "/i/x", "t")).status != 200)
-                return false;
-        return unused.received().size() == before;
-    }
 };
 
 } // namespace
@@ -54,7 +45,8 @@
     BOOST_TEST_REQUIRE(eventually([this] { return other_reaches_store(); }));
     east.remove_entry();
     replica.remove("servers", "i-east");
-    BOOST_TEST(eventually([this] { return other_avoids(east); }, drain_limit));
+    BOOST_TEST(
+        eventually([this] { return avoids(*other, east); }, drain_limit));
 }
 
 // Guards against dropping endpoints whose entries lapsed in an outage, because
--- a/tests/gateway/gateway_restored_configuration_test.cpp
+++ b/tests/gateway/gateway_restored_configuration_test.cpp
@@ -12,11 +12,6 @@
 /// start of a node that is ready.
 constexpr msec apply_limit = 2000;
 
-int status_of(const gateway_process& gateway, const std::string& target)
-{
-    return gateway.call(sample_request("GET", target, "t")).status;
-}
-
 } // namespace
 
 // Guards against a node that starts after the store was restored from a backup
--- a/tests/gateway/gateway_restored_endpoints_test.cpp
+++ b/tests/gateway/gateway_restored_endpoints_test.cpp
@@ -17,20 +17,8 @@
 {
     store_backup backup = store.backup();
 
-    /// Whether the gateway serves requests without the endpoint.
-    bool avoids(const endpoint_standin& unused) const
-    {
-        const auto before = unused.received().size();
-        for (int n = 0; n < 4; ++n)
-            if (gateway
-                    ->call(
-                        sample_request("GET", "/i/x", "t" + std::to_string(n)))
-                    .status != 200)
-                return false;
-        return unused.received().size() == before;
-    }
-
-    /// Whether it does so for as long as entries of ended endpoints may last.
+    /// Whether the gateway avoids the endpoint for as long as entries of ended
+    /// endpoints may last.
     bool keeps_avoiding(const endpoint_standin& unused) const
     {
         const boot_time_clock time;
@@ -38,7 +26,7 @@
             time.now() + endpoint_registry::backup_entry_lifetime - 1000;
         while (time.now() < end)
         {
-            if (!avoids(unused))
+            if (!avoids(*gateway, unused))
                 return false;
             pause_for(100);
         }
@@ -64,7 +52,8 @@
                         restored_endpoints)
 {
     east.register_entry("draining");
-    BOOST_TEST_REQUIRE(eventually([&] { return avoids(east); }, drain_limit));
+    BOOST_TEST_REQUIRE(
+        eventually([&] { return avoids(*gateway, east); }, drain_limit));
     store.restore(backup);
     BOOST_TEST_REQUIRE(notices_restore());
     BOOST_TEST(keeps_avoiding(east));
@@ -77,12 +66,13 @@
     // Removals count once the store has been reachable for a while.
     pause_for(endpoint_registry::lapse_grace);
     east.remove_entry();
-    BOOST_TEST_REQUIRE(eventually([&] { return avoids(east); }, drain_limit));
+    BOOST_TEST_REQUIRE(
+        eventually([&] { return avoids(*gateway, east); }, drain_limit));
     store.restore(backup);
     BOOST_TEST_REQUIRE(notices_restore());
     BOOST_TEST(keeps_avoiding(east));
     // By then, entries that the store still has belong to running endpoints.
-    BOOST_TEST(eventually([&] { return !avoids(east); }, 3000));
+    BOOST_TEST(eventually([&] { return !avoids(*gateway, east); }, 3000));
 }
 
 // Guards against requests to a domain that was withdrawn after the backup,
@@ -91,15 +81,16 @@
                         restored_endpoints)
 {
     store.put("op", "evacuate/east", "{}");
-    BOOST_TEST_REQUIRE(eventually([&] { return avoids(east); }, drain_limit));
+    BOOST_TEST_REQUIRE(
+        eventually([&] { return avoids(*gateway, east); }, drain_limit));
     store.restore(backup);
     BOOST_TEST_REQUIRE(notices_restore());
-    BOOST_TEST(avoids(east));
+    BOOST_TEST(avoids(*gateway, east));
     store.put("op", "evacuate/east", "{}");
     pause_for(500);
-    BOOST_TEST(avoids(east));
+    BOOST_TEST(avoids(*gateway, east));
     store.remove("op", "evacuate/east");
-    BOOST_TEST(eventually([&] { return !avoids(east); }, 2000));
+    BOOST_TEST(eventually([&] { return !avoids(*gateway, east); }, 2000));
 }
 
 // Guards against endpoints that are dropped since the backup lacks their
@@ -113,7 +104,7 @@
     const endpoint_standin late(store, "i-late", "svc", "east", {});
     const auto serves = [&]
     {
-        return gateway->call(sample_request("GET", "/i/x", "t")).status == 200;
+        return status_of(*gateway, "/i/x") == 200;
     };
     BOOST_TEST_REQUIRE(
         eventually([&] { return serves() && !late.received().empty(); }));
--- a/tests/gateway/gateway_restored_store_test.cpp
+++ b/tests/gateway/gateway_restored_store_test.cpp
@@ -9,11 +9,6 @@
 /// Time within which a confirmed change has to be in force.
 constexpr msec apply_limit = 2000;
 
-int status_of(const gateway_process& gateway, const std::string& target)
-{
-    return gateway.call(sample_request("GET", target, "t")).status;
-}
-
 /// A store that has been restored from a backup of version 2 of the
 /// configuration, although gateways have put version 3 in force.
 struct restored_store : one_gateway
--- a/tests/gateway/gateway_store_test.cpp
+++ b/tests/gateway/gateway_store_test.cpp
@@ -3,16 +3,6 @@
 using namespace galenapulley;
 using namespace galenapulley::testing;
 
-namespace
-{
-
-int status_of(const gateway_process& gateway, const std::string& target)
-{
-    return gateway.call(sample_request("GET", target, "t")).status;
-}
-
-} // namespace
-
 BOOST_FIXTURE_TEST_CASE(a_new_configuration_is_in_force_soon, one_gateway)
 {
     BOOST_TEST(status_of(*gateway, "/extra/x") == 404);
--- a/tests/gateway/one_gateway.hpp
+++ b/tests/gateway/one_gateway.hpp
@@ -37,6 +37,23 @@
     }
 };
 
+/// Status of the response to a GET request.
+inline int status_of(const gateway_process& gateway, const std::string& target)
+{
+    return gateway.call(sample_request("GET", target, "t")).status;
+}
+
+/// Whether the gateway serves requests without the endpoint.
+inline bool avoids(const gateway_process& gateway,
+                   const endpoint_standin& unused)
+{
+    const auto before = unused.received().size();
+    for (int n = 0; n < 4; ++n)
+        if (status_of(gateway, "/i/x") != 200)
+            return false;
+    return unused.received().size() == before;
+}
+
 /// Waits until the condition holds.
 template <typename Condition>
 bool eventually(Condition holds, msec limit = 5000)
