--- a/src/galenapulley/cluster_rows.hpp
+++ b/src/galenapulley/cluster_rows.hpp
@@ -32,7 +32,12 @@
     std::uint64_t era = 0;
     std::uint64_t number = 0;
 
-    auto operator<=>(const store_version&) const = default;
+    bool operator==(const store_version&) const = default;
+    /// An era outranks any number.
+    std::strong_ordering operator<=>(const store_version& other) const
+    {
+        return era != other.era ? era <=> other.era : number <=> other.number;
+    }
 };
 
 /// A row's version belongs to the era of the batch or replica that has it.
