gateway_retry_test: an error after a broken stream, a response cut in its head

Both cases pass on this code: an error after a stream has begun ends it visibly incomplete, without its text; a response whose head breaks off becomes 502. A refusal that is written once more on a kept connection is never read, as each attempt has a connection of its own (endpoint_connection).

--- a/tests/gateway/gateway_retry_test.cpp
+++ b/tests/gateway/gateway_retry_test.cpp
@@ -155,3 +155,28 @@
     BOOST_TEST(!cut.complete);
     BOOST_TEST(cut.body.find("id: 3") == std::string::npos);
 }
+
+// Guards against the text or the head of another endpoint's error in the middle
+// of a stream, and against a stream that then ends as if it were complete.
+BOOST_FIXTURE_TEST_CASE(an_error_after_a_broken_stream_is_not_part_of_it,
+                        one_gateway)
+{
+    east.set({.events = 5, .breaks_at = 3});
+    west.set({.status = 500, .body = "out of order"});
+    const auto response =
+        gateway->call(sample_request("POST", "/s/x", "t1", "prompt"));
+    BOOST_TEST(runs() == 2U);
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(!response.complete);
+    BOOST_TEST(response.body == "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n");
+}
+
+// Guards against a response whose head breaks off and that reaches the client
+// as a success with a short body.
+BOOST_FIXTURE_TEST_CASE(a_response_cut_in_its_head_is_no_success, one_gateway)
+{
+    set_both({.breaks_in_head = true});
+    for (const auto* const target : {"/n/x", "/i/x", "/s/x"})
+        BOOST_TEST(gateway->call(sample_request("POST", target, "t1")).status ==
+                   502);
+}
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -211,6 +211,11 @@
                            "Content-Length: 0\r\n\r\n");
     if (behaviour.closes_connection)
         return false;
+    if (behaviour.breaks_in_head)
+    {
+        write_bytes(socket, head(request, behaviour.status) + "Content-Le");
+        return false;
+    }
     if (has_part(request, behaviour.crashes_on_part))
         return crash(socket, request);
     if (behaviour.silent)
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -49,6 +49,8 @@
     std::uint64_t events = 0;
     /// Id of the event after whose first half the connection is closed.
     std::uint64_t breaks_at = 0;
+    /// Closes the connection in the middle of the response's head.
+    bool breaks_in_head = false;
     /// Responses have neither a length nor chunks and end with the connection.
     bool unframed = false;
     msec event_pause = 0;
