Gateway: log the Retry-After of an endpoint's 503

The adapter reads it into one typed record with the rate limit; the log line pause_requested names request, endpoint and value. No decision uses it yet.

--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -50,6 +50,7 @@
     {prompts_quarantined, "prompts_quarantined", warn},
     {endpoint_avoided, "endpoint_avoided", warn},
     {rate_limited, "rate_limited", warn},
+    {pause_requested, "pause_requested", warn},
     {request_read, "request_read", debug},
     {placed, "placed", info},
     {memory_reserved, "memory_set_aside", info},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -43,6 +43,7 @@
     prompts_quarantined,
     endpoint_avoided,
     rate_limited,
+    pause_requested,
     request_read,
     placed,
     memory_reserved,
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -285,7 +285,7 @@
     const auto metadata =
         state_.format.read_response(connection_->status(), headers);
     record_fault(grant, metadata);
-    record_rate_limit(grant, metadata);
+    record_announcement(grant, metadata);
     co_return co_await handle_head(metadata, std::move(headers));
 }
 
@@ -312,14 +312,23 @@
     co_return co_await relay_buffered(std::move(headers));
 }
 
-void forwarding::record_rate_limit(const dispatch_grant& grant,
-                                   const response_metadata& metadata) const
+void forwarding::record_announcement(const dispatch_grant& grant,
+                                     const response_metadata& metadata) const
 {
     const bool is_own =
         !metadata.replaced && (metadata.attempt.empty() ||
                                metadata.attempt == request_.metadata.attempt);
-    if (is_own && metadata.rate_limit != grant.rate_limit)
-        state_.dispatch.on_rate_limit(grant.key, metadata.rate_limit);
+    if (!is_own)
+        return;
+    const auto& announced = metadata.announcement;
+    if (announced.retry_after)
+        state_.log.write(
+            log_event::pause_requested,
+            {{"request", std::string_view(request_.metadata.attempt)},
+             {"endpoint", std::string_view(grant.primary.id)},
+             {"retry_after_ms", *announced.retry_after}});
+    if (announced.rate_limit != grant.rate_limit)
+        state_.dispatch.on_rate_limit(grant.key, announced.rate_limit);
 }
 
 bool forwarding::is_stream(const header_list& headers) const
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -79,8 +79,8 @@
     void release_memory(attempt_outcome outcome);
     void record_fault(const dispatch_grant& grant,
                       const response_metadata& metadata);
-    void record_rate_limit(const dispatch_grant& grant,
-                           const response_metadata& metadata) const;
+    void record_announcement(const dispatch_grant& grant,
+                             const response_metadata& metadata) const;
     boost::asio::awaitable<attempt_outcome>
     exchange(const dispatch_grant& grant);
     boost::asio::awaitable<attempt_outcome>
--- a/src/gateway/wire_format.hpp
+++ b/src/gateway/wire_format.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "galenapulley/clock.hpp"
+#include "galenapulley/endpoint_announcement.hpp"
 #include "galenapulley/error_kind.hpp"
 #include "galenapulley/prompt_part.hpp"
 
@@ -63,9 +64,7 @@
     bool is_signed = false;
     /// Address or id of another endpoint that caused the refusal.
     std::string at_fault{};
-    /// Requests per second that the endpoint takes from all nodes together;
-    /// absent if it names no limit.
-    std::optional<double> rate_limit{};
+    endpoint_announcement announcement{};
 };
 
 /// Reserves memory at an endpoint, renews the reservation, or releases it.
--- a/tests/unit/platform_format_test.cpp
+++ b/tests/unit/platform_format_test.cpp
@@ -199,11 +199,35 @@
     const platform_format format;
     const auto limit_in = [&](const std::string& text)
     {
-        return format.read_response(200, {{"server-limit", text}}).rate_limit;
+        return format.read_response(200, {{"server-limit", text}})
+            .announcement.rate_limit;
     };
     BOOST_TEST((limit_in("2.25") == 2.25));
     BOOST_TEST((limit_in("0") == 0.0));
     for (const auto* const text : {"", "-1", "nan", "inf", "many"})
         BOOST_TEST(!limit_in(text).has_value());
-    BOOST_TEST(!format.read_response(200, {}).rate_limit.has_value());
+    const auto none = format.read_response(200, {}).announcement;
+    BOOST_TEST(!none.rate_limit.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_retry_after_is_read_if_it_is_valid)
+{
+    const platform_format format;
+    const auto pause_in = [&](int status, const header_list& headers)
+    {
+        return format.read_response(status, headers).announcement.retry_after;
+    };
+    BOOST_TEST((pause_in(503, {{"retry-after", "2"}}) == 2000));
+    BOOST_TEST((pause_in(503, {{"Retry-After", "0.25"}}) == 250));
+    BOOST_TEST((pause_in(503, {{"Retry-After", "0"}}) == 0));
+    const std::string many_digits(400, '9');
+    BOOST_TEST(*pause_in(503, {{"Retry-After", many_digits}}) > 0);
+    for (const auto* const text : {"", "-1", "+1", "nan", "inf", "1e3", "1.2.3",
+                                   "soon", "Fri, 04 Dec 2026 10:00:00 GMT"})
+        BOOST_TEST(!pause_in(503, {{"Retry-After", text}}).has_value());
+    const header_list twice{{"Retry-After", "1"}, {"Retry-After", "3"}};
+    BOOST_TEST((pause_in(503, twice) == 3000));
+    BOOST_TEST(!pause_in(503, {}).has_value());
+    for (const int status : {200, 421, 429, 500})
+        BOOST_TEST(!pause_in(status, {{"Retry-After", "2"}}).has_value());
 }
