Endpoint announcements: one record, which placement and sending share

It is thread-safe, as the thread that sends a request has to ask it too: what an endpoint announces counts at once and not after a hop to the control thread. No change of behaviour: the pause that Retry-After asks for is recorded and not used yet.

--- a/src/galenapulley/endpoint_registry.cpp
+++ b/src/galenapulley/endpoint_registry.cpp
@@ -167,16 +167,6 @@
         it->cold_until = std::max(it->cold_until, now + remaining);
 }
 
-bool endpoint_registry::on_rate_limit(endpoint_key key,
-                                      std::optional<double> per_second, msec at)
-{
-    auto* const it = lookup(key);
-    if (it == nullptr || (it->rate_limit_at && at <= *it->rate_limit_at))
-        return false;
-    it->rate_limit_at = at;
-    return std::exchange(it->rate_limit, per_second) != per_second;
-}
-
 void endpoint_registry::on_replaced(endpoint_key key, msec now)
 {
     // The entry remains until it expires in the store, so the endpoint has to
--- a/src/galenapulley/endpoint_registry.hpp
+++ b/src/galenapulley/endpoint_registry.hpp
@@ -33,11 +33,6 @@
     /// peers, unless they report many endpoints.
     msec peers_avoid_until = 0;
     std::uint32_t peer_failures = 0;
-    /// Requests per second that it takes from all nodes together, as its latest
-    /// response said; absent if that named no limit.
-    std::optional<double> rate_limit{};
-    /// When a response last changed the limit; absent if none has.
-    std::optional<msec> rate_limit_at{};
 };
 
 /// All endpoints that have an entry in the platform's store.
@@ -70,11 +65,6 @@
     void on_success(endpoint_key key);
     /// The endpoint reported that it is cold.
     void on_cold(endpoint_key key, msec remaining, msec now);
-    /// A response named the endpoint's rate limit, or none. Reports may arrive
-    /// in any order; the latest response counts. Returns whether the limit
-    /// changes.
-    bool on_rate_limit(endpoint_key key, std::optional<double> per_second,
-                       msec at);
     /// Another endpoint responded at its address.
     void on_replaced(endpoint_key key, msec now);
 
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -66,8 +66,6 @@
     /// Memory must be reserved at the helpers before the request is sent.
     bool needs_reservation = false;
     double expected_first_token_ms = 0;
-    /// The limit that the primary endpoint last named, in requests per second.
-    std::optional<double> rate_limit{};
 };
 
 struct dispatch_refusal
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -190,10 +190,11 @@
 
 bool dispatcher::has_room(const known_endpoint& it) const
 {
-    if (!it.rate_limit)
+    const auto limit = announcements_.rate_limit(it.key);
+    if (!limit)
         return true;
     const auto now = clock_.now();
-    const auto room = load_.placements().room(it.key, *it.rate_limit, now);
+    const auto room = load_.placements().room(it.key, *limit, now);
     return rate_share_.allows(it.key, room, heard_at_.size() + 1, now);
 }
 
@@ -269,8 +270,7 @@
     dispatch_grant out{.primary = primary.description,
                        .key = primary.key,
                        .needs_reservation = !choice.reserved_tokens.empty(),
-                       .expected_first_token_ms = choice.first_token_ms,
-                       .rate_limit = primary.rate_limit};
+                       .expected_first_token_ms = choice.first_token_ms};
     placed_work work{.request = item.id,
                      .node = options_.node,
                      .prompt_tokens = item.prompt_tokens,
@@ -324,7 +324,7 @@
          {"waited_ms", now - item.received_at},
          {"configuration", static_cast<std::int64_t>(item.table->version())}});
     load_.add(std::move(work), now);
-    if (primary.rate_limit)
+    if (announcements_.rate_limit(primary.key))
         rate_share_.on_placed(primary.key, now);
     announce_(update);
     done(std::move(out));
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/crash_registry.hpp"
+#include "galenapulley/endpoint_announcements.hpp"
 #include "galenapulley/endpoint_registry.hpp"
 #include "galenapulley/fleet_load.hpp"
 #include "galenapulley/placement_queue.hpp"
@@ -24,7 +25,6 @@
 {
 
 class event_log;
-struct rate_limit_report;
 
 namespace wire
 {
@@ -77,8 +77,11 @@
     /// The endpoint has sent enough of the response to show that the prompt
     /// doesn't crash it.
     void on_sound(std::uint64_t id);
-    /// A response of the endpoint named its rate limit, or none.
-    void on_rate_limit(endpoint_key key, std::optional<double> per_second);
+    /// The head of a response of the endpoint has arrived.
+    void on_announcement(endpoint_key key,
+                         const endpoint_announcement& announced);
+    /// A response has changed the record of announcements.
+    void on_recorded(endpoint_key key, const announcement_changes& changes);
     void on_finished(std::uint64_t id, const attempt_result& result);
 
     /// Retries the placement of waiting requests and refuses those that can no
@@ -109,6 +112,8 @@
     prompt_reports known_prompts() { return quarantine_.reports(clock_.now()); }
 
     const endpoint_registry& endpoints() const { return registry_; }
+    /// May be used by other threads.
+    endpoint_announcements& announcements() { return announcements_; }
     const fleet_load& load() const { return load_; }
     std::size_t waiting() const { return queue_.size(); }
     std::size_t running() const { return running_.size(); }
@@ -166,7 +171,10 @@
     /// `peer` is empty if this node received the response.
     bool record_rate_limit(const rate_limit_report& report,
                            const std::string& peer);
-    void write_rate_limits(wire::work_update& update) const;
+    void log_rate_limit(const rate_limit_report& report,
+                        const std::string& peer);
+    void write_announcements(wire::work_update& update) const;
+    void forget_removed_endpoints();
     void record_crash(const running_request& work,
                       const attempt_result& result);
     void report_request_crash(const running_request& work);
@@ -190,6 +198,7 @@
     /// When each node last announced work.
     std::map<std::string, msec> heard_at_;
     endpoint_registry registry_;
+    endpoint_announcements announcements_;
     fleet_load load_;
     rate_share rate_share_;
     placement_queue queue_;
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -21,9 +21,6 @@
 /// Time without announcements after which a node's work is forgotten. Nodes
 /// with work announce it every two seconds.
 constexpr msec silence_limit = 6500;
-/// Time for which the end of an endpoint's rate limit is announced, so that
-/// peers' older reports don't restore it.
-constexpr msec limit_end_memory = 10_sec;
 /// Logged in place of a rate limit that has ended.
 constexpr double no_limit = -1;
 
@@ -69,24 +66,46 @@
          {"until_ms", known.peers_avoid_until - now}});
 }
 
-void dispatcher::on_rate_limit(endpoint_key key,
-                               std::optional<double> per_second)
+void dispatcher::on_announcement(endpoint_key key,
+                                 const endpoint_announcement& announced)
 {
-    const auto now = clock_.now();
-    const rate_limit_report report{
-        .endpoint = key, .per_second = per_second, .at = now};
-    if (!record_rate_limit(report, {}))
+    const auto changes = announcements_.record(key, announced, clock_.now());
+    if (changes.any())
+        on_recorded(key, changes);
+}
+
+void dispatcher::on_recorded(endpoint_key key,
+                             const announcement_changes& changes)
+{
+    if (registry_.find(key) == nullptr)
         return;
+    const auto now = clock_.now();
     wire::work_update update;
-    write_rate_limit(report, now, *update.add_rate_limits());
+    if (changes.rate_limit)
+    {
+        const rate_limit_report report{.endpoint = key,
+                                       .per_second =
+                                           announcements_.rate_limit(key),
+                                       .at = now};
+        log_rate_limit(report, {});
+        write_rate_limit(report, now, *update.add_rate_limits());
+    }
     announce_(update);
 }
 
 bool dispatcher::record_rate_limit(const rate_limit_report& report,
                                    const std::string& peer)
 {
-    if (!registry_.on_rate_limit(report.endpoint, report.per_second, report.at))
+    if (registry_.find(report.endpoint) == nullptr ||
+        !announcements_.record_rate_limit(report))
         return false;
+    log_rate_limit(report, peer);
+    return true;
+}
+
+void dispatcher::log_rate_limit(const rate_limit_report& report,
+                                const std::string& peer)
+{
     const auto& known = *registry_.find(report.endpoint);
     log_.write(
         log_event::rate_limited,
@@ -94,19 +113,21 @@
          {"failure_domain", std::string_view(known.description.failure_domain)},
          {"per_second", report.per_second.value_or(no_limit)},
          {"reported_by", std::string_view(peer)}});
-    return true;
 }
 
-void dispatcher::write_rate_limits(wire::work_update& update) const
+void dispatcher::write_announcements(wire::work_update& update) const
 {
     const auto now = clock_.now();
+    for (const auto& it : announcements_.rate_limits(now))
+        write_rate_limit(it, now, *update.add_rate_limits());
+}
+
+void dispatcher::forget_removed_endpoints()
+{
+    std::set<endpoint_key> known;
     for (const auto& [id, it] : registry_.all())
-        if (it.rate_limit_at &&
-            (it.rate_limit || now - *it.rate_limit_at < limit_end_memory))
-            write_rate_limit({.endpoint = it.key,
-                              .per_second = it.rate_limit,
-                              .at = *it.rate_limit_at},
-                             now, *update.add_rate_limits());
+        known.insert(it.key);
+    announcements_.retain(known);
 }
 
 wire::work_update dispatcher::all_work() const
@@ -116,7 +137,7 @@
     const auto now = clock_.now();
     for (const auto* const it : load_.work_of(options_.node))
         write_entry(*it, now, *update.add_placed());
-    write_rate_limits(update);
+    write_announcements(update);
     return update;
 }
 
@@ -138,6 +159,7 @@
                                bool authoritative)
 {
     registry_.update(entries, authoritative, clock_.now());
+    forget_removed_endpoints();
     log_.write(log_event::endpoints,
                {{"entries", static_cast<std::int64_t>(entries.size())},
                 {"known", static_cast<std::int64_t>(registry_.all().size())},
--- a/src/gateway/dispatcher_proxy.cpp
+++ b/src/gateway/dispatcher_proxy.cpp
@@ -42,11 +42,14 @@
     control_.post([this, id] { dispatcher_.on_sound(id); });
 }
 
-void dispatcher_proxy::on_rate_limit(endpoint_key key,
-                                     std::optional<double> per_second)
-{
-    control_.post([this, key, per_second]
-                  { dispatcher_.on_rate_limit(key, per_second); });
+void dispatcher_proxy::on_announcement(endpoint_key key,
+                                       const endpoint_announcement& announced,
+                                       msec at)
+{
+    const auto changes = dispatcher_.announcements().record(key, announced, at);
+    if (changes.any())
+        control_.post([this, key, changes]
+                      { dispatcher_.on_recorded(key, changes); });
 }
 
 void dispatcher_proxy::on_finished(std::uint64_t id,
--- a/src/gateway/dispatcher_proxy.hpp
+++ b/src/gateway/dispatcher_proxy.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "galenapulley/endpoint_announcements.hpp"
 #include "gateway/dispatch_request.hpp"
 
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 
 namespace galenapulley
 {
@@ -29,7 +29,10 @@
     void cancel(std::uint64_t id);
     void on_first_token(std::uint64_t id);
     void on_sound(std::uint64_t id);
-    void on_rate_limit(endpoint_key key, std::optional<double> per_second);
+    /// The head of a response of the endpoint has arrived. It counts for this
+    /// node's requests at once.
+    void on_announcement(endpoint_key key,
+                         const endpoint_announcement& announced, msec at);
     void on_finished(std::uint64_t id, const attempt_result& result);
 
 private:
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -327,8 +327,7 @@
             {{"request", std::string_view(request_.metadata.attempt)},
              {"endpoint", std::string_view(grant.primary.id)},
              {"retry_after_ms", *announced.retry_after}});
-    if (announced.rate_limit != grant.rate_limit)
-        state_.dispatch.on_rate_limit(grant.key, announced.rate_limit);
+    state_.dispatch.on_announcement(grant.key, announced, now());
 }
 
 bool forwarding::is_stream(const header_list& headers) const
--- a/src/gateway/work_message.hpp
+++ b/src/gateway/work_message.hpp
@@ -1,25 +1,15 @@
 #pragma once
 
 #include "galenapulley/clock.hpp"
+#include "galenapulley/endpoint_announcements.hpp"
 #include "galenapulley/fleet_load.hpp"
 #include "peer.pb.h"
 
-#include <optional>
 #include <string>
 
 namespace galenapulley
 {
 
-/// What a response of an endpoint said of its rate limit.
-struct rate_limit_report
-{
-    endpoint_key endpoint = 0;
-    /// Requests per second from all nodes together; absent if it named no
-    /// limit.
-    std::optional<double> per_second{};
-    msec at = 0;
-};
-
 /// Converts placed work to and from its announcement. Times in the message are
 /// relative to `now`, as the clocks of nodes differ.
 void write_entry(const placed_work& from, msec now, wire::work_entry& to);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -342,10 +342,11 @@
 BOOST_AUTO_TEST_CASE(an_endpoint_gets_the_rate_that_it_names)
 {
     one_endpoint fleet(0);
-    fleet.target.on_rate_limit(first_key(fleet), 2.5);
+    fleet.target.on_announcement(first_key(fleet), {.rate_limit = 2.5});
     BOOST_TEST(granted_in_four_seconds(fleet) == 10);
     BOOST_TEST(granted_in_four_seconds(fleet) <= 10);
-    fleet.target.on_rate_limit(first_key(fleet), std::nullopt);
+    fleet.target.on_announcement(first_key(fleet),
+                                 {.rate_limit = std::nullopt});
     BOOST_TEST(granted_in_four_seconds(fleet) == 80);
 }
 
@@ -370,9 +371,10 @@
 BOOST_AUTO_TEST_CASE(an_older_report_of_a_limit_is_ignored)
 {
     one_endpoint fleet(0);
-    fleet.target.on_rate_limit(first_key(fleet), 1.0);
+    fleet.target.on_announcement(first_key(fleet), {.rate_limit = 1.0});
     fleet.time.advance(1000);
-    fleet.target.on_rate_limit(first_key(fleet), std::nullopt);
+    fleet.target.on_announcement(first_key(fleet),
+                                 {.rate_limit = std::nullopt});
     fleet.target.on_update("n2", limit_report(fleet, 1, 500));
     BOOST_TEST(granted_in_four_seconds(fleet) == 80);
     BOOST_TEST(fleet.target.all_work().rate_limits_size() == 1);
@@ -385,7 +387,7 @@
 BOOST_AUTO_TEST_CASE(an_endpoint_with_a_limit_of_zero_is_still_asked)
 {
     one_endpoint fleet(0);
-    fleet.target.on_rate_limit(first_key(fleet), 0.0);
+    fleet.target.on_announcement(first_key(fleet), {.rate_limit = 0.0});
     BOOST_TEST(granted_in_four_seconds(fleet) == 1);
 }
 
@@ -394,7 +396,7 @@
 BOOST_AUTO_TEST_CASE(an_endpoint_at_its_limit_may_be_a_helper)
 {
     one_endpoint fleet(0, 2);
-    fleet.target.on_rate_limit(first_key(fleet), 0.0);
+    fleet.target.on_announcement(first_key(fleet), {.rate_limit = 0.0});
     for (int n = 0; n < 4; ++n)
         fleet.ask(500);
     const auto result = fleet.ask(420'000);
--- a/tests/unit/rate_limit_fleet_test.cpp
+++ b/tests/unit/rate_limit_fleet_test.cpp
@@ -53,7 +53,7 @@
             add_node("n" + std::to_string(n));
         const auto key = nodes_.front()->endpoints().all().begin()->second.key;
         for (auto& it : nodes_)
-            it->on_rate_limit(key, requests_per_second);
+            it->on_announcement(key, {.rate_limit = requests_per_second});
     }
 
     void run(msec duration)
