--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -18,6 +18,14 @@
     "Content-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
 
+std::string refusal(const endpoint_behaviour& behaviour)
+{
+    std::string out = "HTTP/1.1 503 X\r\nGalenapulley-Not-Executed: 1\r\n";
+    for (const auto& it : behaviour.retry_after)
+        out += "Retry-After: " + it + "\r\n";
+    return out + "Content-Length: 0\r\n\r\n";
+}
+
 /// Whether the request's prompt contains the part.
 bool has_part(const wire_request& request, const std::string& part)
 {
@@ -78,6 +86,15 @@
     store_.remove("servers", id_);
 }
 
+void endpoint_standin::restart()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        ++incarnation_;
+    }
+    register_entry();
+}
+
 void endpoint_standin::go_dark()
 {
     {
@@ -157,7 +174,9 @@
         return false;
     }
     if (order.operation == "reserve" && behaviour.refuses_memory)
-        return write_json(socket, 409, R"({"Free":0})");
+        return behaviour.retry_after.empty()
+                   ? write_json(socket, 409, R"({"Free":0})")
+                   : write_bytes(socket, refusal(behaviour));
     {
         const std::lock_guard lock(mutex_);
         if (order.operation == "reserve")
@@ -197,7 +216,8 @@
                               .target = std::string(request.target()),
                               .body = request.body(),
                               .run = !behaviour.refuses_requests &&
-                                     !behaviour.replaced};
+                                     !behaviour.replaced,
+                              .at = time_.now()};
         for (const auto& it : request)
             item.headers.emplace(it.name_string(), it.value());
         received_.push_back(std::move(item));
@@ -206,9 +226,7 @@
         return write_bytes(socket,
                            "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
     if (behaviour.refuses_requests)
-        return write_bytes(socket,
-                           "HTTP/1.1 503 X\r\nGalenapulley-Not-Executed: 1\r\n"
-                           "Content-Length: 0\r\n\r\n");
+        return write_bytes(socket, refusal(behaviour));
     if (behaviour.closes_connection)
         return false;
     if (behaviour.breaks_in_head)
@@ -245,11 +263,7 @@
 bool endpoint_standin::crash(wire_socket& socket, const wire_request& request)
 {
     write_bytes(socket, head(request, 200) + std::string(stream_headers));
-    {
-        const std::lock_guard lock(mutex_);
-        ++incarnation_;
-    }
-    register_entry();
+    restart();
     return false;
 }
 
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -67,6 +67,8 @@
     std::string crashes_on_part{};
     /// Requests per second that its responses name as its limit, if any.
     std::string rate_limit{};
+    /// The Retry-After headers of its refusals, of requests and of memory.
+    std::vector<std::string> retry_after{};
 };
 
 /// An order about memory that an endpoint received.
@@ -86,6 +88,7 @@
     std::string body;
     std::multimap<std::string, std::string> headers;
     bool run = false;
+    msec at = 0;
 
     std::string header(const std::string& name) const;
 };
@@ -101,6 +104,8 @@
     void register_entry(const std::string& state = "ready");
     /// Removes the entry from the store.
     void remove_entry();
+    /// Registers as a new incarnation with the same id and address.
+    void restart();
     /// Its host loses power in the middle of what it does.
     void go_dark();
     const std::string& id() const { return id_; }
