Endpoints that asked for a pause get no requests until it is over

Seen by callers: calls to small services were answered 429 right after an endpoint's 503, told to return in 0.25 s, and met the same resting endpoint again. Seen by endpoints: N requests of one node in the N seconds of rest that they had asked it for.

Cause: nothing read Retry-After; a refused endpoint was avoided for the fixed 60 ms of a refusal for lack of capacity. Class: what an endpoint says of itself isn't kept, and each path that leads to it decides for itself.

Fix: the record of announcements keeps the end of the pause by incarnation (at most 60 s are believed). While all endpoints that a request may use want a pause, it is refused at once with 503 and the time until the first is back, spread out, also if it waits already. Peers are told; for them it is a hint (a third of a service's endpoints at most), as the pause was asked of this node only.

Ruled out by attempt ids: that the requests came from other nodes.

--- a/src/galenapulley/counters.hpp
+++ b/src/galenapulley/counters.hpp
@@ -23,7 +23,8 @@
     stream_restarted,
     owner_silent,
     permit_refused,
-    memory_refused
+    memory_refused,
+    paused
 };
 
 enum class state_change
--- a/src/galenapulley/endpoint_announcements.cpp
+++ b/src/galenapulley/endpoint_announcements.cpp
@@ -22,6 +22,13 @@
     return out;
 }
 
+bool endpoint_announcements::record_pause(endpoint_key key, msec retry_after,
+                                          msec at)
+{
+    const std::lock_guard lock(mutex_);
+    return extend_pause(key, at + std::min(retry_after, max_pause));
+}
+
 bool endpoint_announcements::record_rate_limit(const rate_limit_report& report)
 {
     const std::lock_guard lock(mutex_);
@@ -31,6 +38,7 @@
 bool endpoint_announcements::set_rate_limit(const rate_limit_report& report)
 {
     auto& it = known_[report.endpoint];
+    is_empty_ = false;
     if (it.rate_limit_at && report.at <= *it.rate_limit_at)
         return false;
     const bool changed =
@@ -44,17 +52,27 @@
 bool endpoint_announcements::extend_pause(endpoint_key key, msec until)
 {
     auto& it = known_[key];
+    is_empty_ = false;
     if (until <= it.paused_until)
         return false;
     it.paused_until = until;
+    last_pause_end_ = std::max(last_pause_end_.load(), until);
     return true;
 }
 
-std::optional<double> endpoint_announcements::rate_limit(endpoint_key key) const
+endpoint_announcements::known_announcements
+endpoint_announcements::find(endpoint_key key) const
 {
+    if (is_empty_)
+        return {};
     const std::lock_guard lock(mutex_);
     const auto it = known_.find(key);
-    return it == known_.end() ? std::nullopt : it->second.rate_limit;
+    return it == known_.end() ? known_announcements{} : it->second;
+}
+
+std::optional<double> endpoint_announcements::rate_limit(endpoint_key key) const
+{
+    return find(key).rate_limit;
 }
 
 bool endpoint_announcements::is_paused(endpoint_key key, msec now) const
@@ -64,9 +82,7 @@
 
 msec endpoint_announcements::paused_until(endpoint_key key) const
 {
-    const std::lock_guard lock(mutex_);
-    const auto it = known_.find(key);
-    return it == known_.end() ? 0 : it->second.paused_until;
+    return find(key).paused_until;
 }
 
 std::vector<rate_limit_report>
@@ -98,6 +114,7 @@
     const std::lock_guard lock(mutex_);
     std::erase_if(known_, [&known](const auto& it)
                   { return !known.contains(it.first); });
+    is_empty_ = known_.empty();
 }
 
 } // namespace galenapulley
--- a/src/galenapulley/endpoint_announcements.hpp
+++ b/src/galenapulley/endpoint_announcements.hpp
@@ -4,6 +4,7 @@
 #include "galenapulley/endpoint.hpp"
 #include "galenapulley/endpoint_announcement.hpp"
 
+#include <atomic>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -48,6 +49,9 @@
     /// A response of the endpoint has arrived at this node.
     announcement_changes
     record(endpoint_key key, const endpoint_announcement& announced, msec at);
+    /// A response that says nothing of the limit asked for a pause. Returns
+    /// whether the pause lasts longer than before.
+    bool record_pause(endpoint_key key, msec retry_after, msec at);
     /// Returns whether the limit changes. Reports may arrive in any order; the
     /// latest response counts.
     bool record_rate_limit(const rate_limit_report& report);
@@ -59,6 +63,8 @@
     /// for none.
     msec paused_until(endpoint_key key) const;
 
+    /// Whether any endpoint wants no requests from this node now.
+    bool any_paused(msec now) const { return last_pause_end_ > now; }
     /// The known limits, and those that ended lately.
     std::vector<rate_limit_report> rate_limits(msec now) const;
     /// The pauses that go on.
@@ -87,8 +93,13 @@
     bool set_rate_limit(const rate_limit_report& report);
     bool extend_pause(endpoint_key key, msec until);
 
+    known_announcements find(endpoint_key key) const;
+
     mutable std::mutex mutex_;
     std::unordered_map<endpoint_key, known_announcements> known_;
+    /// Saves the lock while no endpoint has announced anything.
+    std::atomic<bool> is_empty_{true};
+    std::atomic<msec> last_pause_end_{0};
 };
 
 } // namespace galenapulley
--- a/src/galenapulley/endpoint_registry.cpp
+++ b/src/galenapulley/endpoint_registry.cpp
@@ -144,6 +144,14 @@
     return true;
 }
 
+bool endpoint_registry::on_peer_pause(endpoint_key key, msec until, msec now)
+{
+    auto* const it = lookup(key);
+    if (it == nullptr || it->peers_avoid_until >= until)
+        return false;
+    return std::exchange(it->peers_avoid_until, until) <= now;
+}
+
 void endpoint_registry::on_capacity_refusal(endpoint_key key, msec now)
 {
     if (auto* const it = lookup(key))
--- a/src/galenapulley/endpoint_registry.hpp
+++ b/src/galenapulley/endpoint_registry.hpp
@@ -30,7 +30,8 @@
     std::string reported_by{};
     msec reported_at = 0;
     /// No new work is sent to it before this time, after failed attempts of
-    /// peers, unless they report many endpoints.
+    /// peers or pauses that it asked them for, unless they report many
+    /// endpoints.
     msec peers_avoid_until = 0;
     std::uint32_t peer_failures = 0;
 };
@@ -60,6 +61,9 @@
     /// report the endpoint within a short time, as an isolated node fails to
     /// reach any endpoint. Returns whether a pause begins.
     bool on_peer_failure(endpoint_key key, const std::string& peer, msec now);
+    /// The endpoint asked a peer for a pause, and may want one from this node
+    /// too. Returns whether a pause begins.
+    bool on_peer_pause(endpoint_key key, msec until, msec now);
     /// The endpoint refused a request for lack of capacity.
     void on_capacity_refusal(endpoint_key key, msec now);
     void on_success(endpoint_key key);
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -91,6 +91,9 @@
     unreachable,
     /// A helper refused the memory reservation; nothing was sent.
     memory_refused,
+    /// An endpoint asked for a pause after the request was placed; nothing was
+    /// sent.
+    paused,
     /// The connection ended without a usable response after the request was
     /// sent.
     broken_before_response,
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -107,6 +107,11 @@
                done);
         return;
     }
+    if (auto refusal = pause_refusal(item))
+    {
+        refuse(item, *std::move(refusal), done);
+        return;
+    }
     auto& budget = budget_of(item.service);
     if (!item.is_retry)
     {
@@ -176,7 +181,8 @@
 bool dispatcher::may_use(const dispatch_request& item, const known_endpoint& it,
                          const endpoint_load& load) const
 {
-    if (withdrawn_.contains(it.description.failure_domain))
+    if (withdrawn_.contains(it.description.failure_domain) ||
+        announcements_.is_paused(it.key, clock_.now()))
         return false;
     if (std::find(item.tried.begin(), item.tried.end(), it.key) !=
         item.tried.end())
@@ -371,6 +377,11 @@
             refuse_waiting(id, *std::move(refusal));
             continue;
         }
+        if (auto refusal = pause_refusal(it->second.item))
+        {
+            refuse_waiting(id, *std::move(refusal));
+            continue;
+        }
         if (!try_place(it->second.item, it->second.done))
             continue;
         queue_.remove(id);
@@ -453,6 +464,8 @@
     case attempt_outcome::memory_refused:
         registry_.on_capacity_refusal(failed, now);
         return;
+    case attempt_outcome::paused:
+        return;
     case attempt_outcome::broken_before_response:
     case attempt_outcome::broken_response:
         registry_.on_failure(work.primary, now);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -83,6 +83,9 @@
     /// A response has changed the record of announcements.
     void on_recorded(endpoint_key key, const announcement_changes& changes);
     void on_finished(std::uint64_t id, const attempt_result& result);
+    /// Time after which a refused client may return because an endpoint of the
+    /// service wants requests again; 0 if one wants them now.
+    msec pause_of(const std::string& service);
 
     /// Retries the placement of waiting requests and refuses those that can no
     /// longer be served in time.
@@ -159,6 +162,16 @@
     /// Why the request must not be sent to endpoints; absent if it may be.
     std::optional<dispatch_refusal>
     quarantine_refusal(const dispatch_request& item);
+    /// When the first endpoint of the service that isn't excluded wants
+    /// requests from this node; absent if there is none.
+    std::optional<msec>
+    first_pause_end(const std::string& service,
+                    const std::vector<endpoint_key>& excluded) const;
+    /// Spreads the clients that return after a pause.
+    msec retry_after_pause(msec left, std::uint64_t id) const;
+    /// Why the request isn't worth a wait: all endpoints want a pause.
+    std::optional<dispatch_refusal>
+    pause_refusal(const dispatch_request& item) const;
     void place_waiting();
     void record_failure(const running_request& work,
                         const attempt_result& result);
@@ -171,6 +184,7 @@
     /// `peer` is empty if this node received the response.
     bool record_rate_limit(const rate_limit_report& report,
                            const std::string& peer);
+    void record_peer_pause(const pause_report& report, const std::string& peer);
     void log_rate_limit(const rate_limit_report& report,
                         const std::string& peer);
     void write_announcements(wire::work_update& update) const;
@@ -214,6 +228,7 @@
     std::unordered_map<std::uint64_t, waiting_request> waiting_;
     std::unordered_map<std::uint64_t, running_request> running_;
     std::uint64_t last_crash_ = 0;
+    std::uint64_t pause_queries_ = 0;
 };
 
 } // namespace galenapulley
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -90,7 +90,28 @@
         log_rate_limit(report, {});
         write_rate_limit(report, now, *update.add_rate_limits());
     }
+    if (changes.pause)
+        write_pause(
+            {.endpoint = key, .until = announcements_.paused_until(key)}, now,
+            *update.add_pauses());
     announce_(update);
+    // What waits for the endpoint may have to be refused.
+    if (changes.pause)
+        place_waiting();
+}
+
+void dispatcher::record_peer_pause(const pause_report& report,
+                                   const std::string& peer)
+{
+    const auto now = clock_.now();
+    if (!registry_.on_peer_pause(report.endpoint, report.until, now))
+        return;
+    const auto& known = *registry_.find(report.endpoint);
+    log_.write(log_event::pause_requested,
+               {{"request", std::string_view()},
+                {"endpoint", std::string_view(known.description.id)},
+                {"retry_after_ms", report.until - now},
+                {"reported_by", std::string_view(peer)}});
 }
 
 bool dispatcher::record_rate_limit(const rate_limit_report& report,
@@ -120,6 +141,8 @@
     const auto now = clock_.now();
     for (const auto& it : announcements_.rate_limits(now))
         write_rate_limit(it, now, *update.add_rate_limits());
+    for (const auto& it : announcements_.pauses(now))
+        write_pause(it, now, *update.add_pauses());
 }
 
 void dispatcher::forget_removed_endpoints()
@@ -210,6 +233,8 @@
         record_peer_failure(key, node);
     for (const auto& it : message.rate_limits())
         record_rate_limit(read_rate_limit(it, now), node);
+    for (const auto& it : message.pauses())
+        record_peer_pause(read_pause(it, now), node);
     if (message.ended_size() > 0 || message.complete())
         place_waiting();
 }
--- a/src/gateway/dispatcher_proxy.cpp
+++ b/src/gateway/dispatcher_proxy.cpp
@@ -32,6 +32,29 @@
     control_.post([this, id] { dispatcher_.cancel(id); });
 }
 
+void dispatcher_proxy::request_pause(std::string service,
+                                     std::function<void(msec)> done)
+{
+    control_.post(
+        [this, service = std::move(service), done = std::move(done)]
+        {
+            const auto left = dispatcher_.pause_of(service);
+            boost::asio::post(traffic_, [done, left] { done(left); });
+        });
+}
+
+void dispatcher_proxy::on_pause(endpoint_key key, msec retry_after, msec at)
+{
+    if (dispatcher_.announcements().record_pause(key, retry_after, at))
+        control_.post([this, key]
+                      { dispatcher_.on_recorded(key, {.pause = true}); });
+}
+
+const endpoint_announcements& dispatcher_proxy::announcements() const
+{
+    return dispatcher_.announcements();
+}
+
 void dispatcher_proxy::on_first_token(std::uint64_t id)
 {
     control_.post([this, id] { dispatcher_.on_first_token(id); });
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -140,7 +140,8 @@
             .tried = tried_,
             .is_retry = attempts_ > 0 &&
                         last_outcome_ != attempt_outcome::unreachable &&
-                        last_outcome_ != attempt_outcome::memory_refused};
+                        last_outcome_ != attempt_outcome::memory_refused &&
+                        last_outcome_ != attempt_outcome::paused};
 }
 
 std::shared_ptr<forwarding::pending_result>
@@ -190,6 +191,24 @@
     co_return std::move(pending->result);
 }
 
+asio::awaitable<msec> forwarding::request_pause()
+{
+    auto pending = std::make_shared<pending_pause>();
+    pending->wake = &wake_;
+    wake_.expires_at(std::chrono::steady_clock::time_point::max());
+    state_.dispatch.request_pause(request_.service,
+                                  [pending](msec left)
+                                  {
+                                      pending->left = left;
+                                      if (pending->wake != nullptr)
+                                          pending->wake->cancel();
+                                  });
+    boost::system::error_code ec;
+    co_await wake_.async_wait(redirect_error(use_awaitable, ec));
+    pending->wake = nullptr;
+    co_return pending->left;
+}
+
 asio::awaitable<forwarding::next_action>
 forwarding::run_attempt(dispatch_grant grant)
 {
@@ -229,12 +248,13 @@
                               attempt_outcome outcome) const
 {
     const bool resumes = events_sent_ > 0;
-    state_.count.count(resumes ? retry_reason::stream_resumed
-                       : outcome == attempt_outcome::unreachable
-                           ? retry_reason::connect_failed
-                       : outcome == attempt_outcome::memory_refused
-                           ? retry_reason::memory_refused
-                           : retry_reason::back_end_failed);
+    state_.count.count(
+        resumes                                   ? retry_reason::stream_resumed
+        : outcome == attempt_outcome::unreachable ? retry_reason::connect_failed
+        : outcome == attempt_outcome::memory_refused
+            ? retry_reason::memory_refused
+        : outcome == attempt_outcome::paused ? retry_reason::paused
+                                             : retry_reason::back_end_failed);
     state_.log.write(
         resumes ? log_event::resumed : log_event::retried,
         {{"request", std::string_view(request_.metadata.attempt)},
@@ -270,6 +290,8 @@
         co_return outcome_of(connected);
     if (reservation_)
         connection_->limit_silence(reservation_->silence_limit());
+    if (is_paused(grant))
+        co_return attempt_outcome::paused;
     auto text = endpoint_request(grant);
     endpoint_heard_at_ = now();
     const auto head = co_await connection_->exchange_head(
@@ -312,6 +334,16 @@
     co_return co_await relay_buffered(std::move(headers));
 }
 
+bool forwarding::is_paused(const dispatch_grant& grant) const
+{
+    const auto& announcements = state_.dispatch.announcements();
+    const auto at = now();
+    return announcements.is_paused(grant.key, at) ||
+           std::any_of(grant.helpers.begin(), grant.helpers.end(),
+                       [&announcements, at](const helper& it)
+                       { return announcements.is_paused(it.key, at); });
+}
+
 void forwarding::record_announcement(const dispatch_grant& grant,
                                      const response_metadata& metadata) const
 {
@@ -326,7 +358,8 @@
             log_event::pause_requested,
             {{"request", std::string_view(request_.metadata.attempt)},
              {"endpoint", std::string_view(grant.primary.id)},
-             {"retry_after_ms", *announced.retry_after}});
+             {"retry_after_ms", *announced.retry_after},
+             {"reported_by", std::string_view()}});
     state_.dispatch.on_announcement(grant.key, announced, now());
 }
 
@@ -382,6 +415,7 @@
     {
     case attempt_outcome::unreachable:
     case attempt_outcome::memory_refused:
+    case attempt_outcome::paused:
     case attempt_outcome::replaced:
         return !may_have_run_ || (matched_route.retryable() && runs_left);
     case attempt_outcome::not_run:
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -65,10 +65,18 @@
         /// Null once the request no longer waits for the dispatcher.
         boost::asio::steady_timer* wake = nullptr;
     };
+    struct pending_pause
+    {
+        msec left = 0;
+        /// Null once the request no longer waits for the dispatcher.
+        boost::asio::steady_timer* wake = nullptr;
+    };
 
     dispatch_request make_dispatch_request(std::uint64_t id) const;
     std::shared_ptr<pending_result> send_dispatch_request(std::uint64_t id);
     boost::asio::awaitable<std::optional<dispatch_result>> request_dispatch();
+    /// Time until an endpoint of the service wants requests; 0 if one does now.
+    boost::asio::awaitable<msec> request_pause();
     void record_retry(const dispatch_grant& grant,
                       attempt_outcome outcome) const;
     boost::asio::awaitable<next_action> run_attempt(dispatch_grant grant);
@@ -79,6 +87,9 @@
     void release_memory(attempt_outcome outcome);
     void record_fault(const dispatch_grant& grant,
                       const response_metadata& metadata);
+    /// Whether an endpoint of the grant wants no requests from this node. It
+    /// may have asked for that since the placement.
+    bool is_paused(const dispatch_grant& grant) const;
     void record_announcement(const dispatch_grant& grant,
                              const response_metadata& metadata) const;
     boost::asio::awaitable<attempt_outcome>
@@ -105,6 +116,8 @@
     boost::asio::awaitable<bool> send_refusal(dispatch_refusal refusal);
     boost::asio::awaitable<bool> handle_early_end();
     boost::asio::awaitable<bool> send_last_outcome();
+    /// Refuses the request, which no endpoint has run, after an attempt.
+    boost::asio::awaitable<bool> send_not_run();
     void log_end(log_event event, std::string_view kind,
                  std::string_view reason) const;
 
--- a/src/gateway/forwarding_errors.cpp
+++ b/src/gateway/forwarding_errors.cpp
@@ -20,10 +20,9 @@
     case attempt_outcome::replaced:
     case attempt_outcome::unreachable:
     case attempt_outcome::memory_refused:
+    case attempt_outcome::paused:
         if (!may_have_run())
-            co_return co_await send_failure(
-                error_kind::overloaded, name_of(last_outcome_),
-                error_response_for(error_kind::overloaded).retry_after / 4);
+            co_return co_await send_not_run();
         break;
     default:
         break;
@@ -32,6 +31,19 @@
                                     name_of(last_outcome_), 0);
 }
 
+asio::awaitable<bool> forwarding::send_not_run()
+{
+    const auto pause = co_await request_pause();
+    if (end_ != end_reason::none)
+        co_return co_await handle_early_end();
+    if (pause > 0)
+        co_return co_await send_failure(
+            error_kind::no_back_end, "all endpoints asked for a pause", pause);
+    co_return co_await send_failure(
+        error_kind::overloaded, name_of(last_outcome_),
+        error_response_for(error_kind::overloaded).retry_after / 4);
+}
+
 asio::awaitable<bool> forwarding::send_refusal(dispatch_refusal refusal)
 {
     // Other error kinds state that the request has not run, which is unknown
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -332,6 +332,9 @@
     metrics_.set(
         gauge::endpoints_known,
         static_cast<std::int64_t>(dispatcher_.endpoints().all().size()));
+    metrics_.set(gauge::endpoints_paused,
+                 static_cast<std::int64_t>(
+                     dispatcher_.announcements().pauses(loop_.now()).size()));
     metrics_.set(gauge::live_nodes, static_cast<std::int64_t>(live_.size()));
     metrics_.set(gauge::serving_nodes,
                  static_cast<std::int64_t>(serving_set_.members().size()));
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -23,6 +23,7 @@
     "store_reached",
     "store_era",
     "endpoints_known",
+    "endpoints_paused",
     "live_nodes",
     "serving_nodes",
     "serving",
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -41,6 +41,7 @@
     store_reached,
     store_era,
     endpoints_known,
+    endpoints_paused,
     live_nodes,
     serving_nodes,
     serving,
--- a/src/gateway/memory_reservation.cpp
+++ b/src/gateway/memory_reservation.cpp
@@ -130,7 +130,16 @@
         const auto head = co_await connection->exchange_head(
             std::move(text), false, order_timeout);
         if (head == connection_result::done)
-            result = state_.format.read_order_response(connection->status());
+        {
+            const auto response = state_.format.read_response(
+                connection->status(), connection->headers());
+            result =
+                response.not_run
+                    ? order_result::refused
+                    : state_.format.read_order_response(connection->status());
+            if (const auto pause = response.announcement.retry_after)
+                state_.dispatch.on_pause(item->holder->key, *pause, now());
+        }
     }
     connection->cancel();
     state_.metrics.count(result);
--- a/src/gateway/work_announcer.cpp
+++ b/src/gateway/work_announcer.cpp
@@ -8,11 +8,12 @@
 namespace
 {
 
-/// Placements, failures and limits change the decisions of other nodes at once.
+/// Placements, failures, limits and pauses change the decisions of other nodes
+/// at once.
 bool is_urgent(const wire::work_update& update)
 {
     return update.placed_size() > 0 || update.failed_size() > 0 ||
-           update.rate_limits_size() > 0;
+           update.rate_limits_size() > 0 || update.pauses_size() > 0;
 }
 
 } // namespace
--- a/src/gateway/work_message.cpp
+++ b/src/gateway/work_message.cpp
@@ -1,5 +1,7 @@
 #include "gateway/work_message.hpp"
 
+#include <algorithm>
+
 namespace galenapulley
 {
 
@@ -38,6 +40,20 @@
     return out;
 }
 
+void write_pause(const pause_report& from, msec now, wire::pause_entry& to)
+{
+    to.set_endpoint(from.endpoint);
+    to.set_left_ms(
+        static_cast<std::uint32_t>(std::max(from.until - now, 0_ms)));
+}
+
+pause_report read_pause(const wire::pause_entry& from, msec now)
+{
+    const auto left = std::min(static_cast<msec>(from.left_ms()),
+                               endpoint_announcements::max_pause);
+    return {.endpoint = from.endpoint(), .until = now + left};
+}
+
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now)
 {
--- a/src/gateway/work_message.hpp
+++ b/src/gateway/work_message.hpp
@@ -16,6 +16,8 @@
 void write_rate_limit(const rate_limit_report& from, msec now,
                       wire::rate_limit_entry& to);
 rate_limit_report read_rate_limit(const wire::rate_limit_entry& from, msec now);
+void write_pause(const pause_report& from, msec now, wire::pause_entry& to);
+pause_report read_pause(const wire::pause_entry& from, msec now);
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now);
 
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace galenapulley;
 
 namespace
@@ -438,3 +440,107 @@
     }
     BOOST_TEST(!is_granted());
 }
+
+namespace
+{
+
+wire::work_update pause_report_of(const one_endpoint& fleet, msec left)
+{
+    wire::work_update out;
+    auto& entry = *out.add_pauses();
+    entry.set_endpoint(first_key(fleet));
+    entry.set_left_ms(static_cast<std::uint32_t>(left));
+    return out;
+}
+
+/// The endpoints that get the next requests.
+std::set<std::string> next_primaries(one_endpoint& fleet)
+{
+    std::set<std::string> out;
+    for (int n = 0; n < 20; ++n)
+    {
+        const auto result = fleet.ask(500);
+        if (!result)
+            continue;
+        if (const auto* const grant = std::get_if<dispatch_grant>(&*result))
+            out.insert(grant->primary.id);
+        fleet.target.on_finished(fleet.next, {});
+    }
+    return out;
+}
+
+} // namespace
+
+// Guards against helpers of a long prompt that asked for a pause.
+BOOST_AUTO_TEST_CASE(a_paused_endpoint_is_no_helper)
+{
+    one_endpoint fleet(0, 3);
+    fleet.target.on_announcement(first_key(fleet), {.retry_after = 2000});
+    const auto result = fleet.ask(420'000);
+    BOOST_TEST_REQUIRE(result.has_value());
+    const auto& grant = std::get<dispatch_grant>(*result);
+    BOOST_TEST(grant.primary.id != "e1");
+    for (const auto& it : grant.helpers)
+        BOOST_TEST(it.id != "e1");
+}
+
+// Guards against a request that waits until its deadline for endpoints which
+// want a longer pause.
+BOOST_AUTO_TEST_CASE(waiting_requests_are_refused_when_all_endpoints_pause)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_announcement(first_key(fleet), {.retry_after = 100});
+    std::optional<dispatch_result> result;
+    fleet.target.request({.id = 1'000'000,
+                          .attempt = "t",
+                          .table = fleet.table,
+                          .matched_route = fleet.table->find("h", "/x"),
+                          .service = "svc",
+                          .prompt_tokens = 500,
+                          .received_at = fleet.time.now(),
+                          .deadline = fleet.time.now() + 15'000},
+                         [&result](dispatch_result it)
+                         { result = std::move(it); });
+    BOOST_TEST(!result.has_value());
+    fleet.target.on_announcement(first_key(fleet), {.retry_after = 2000});
+    BOOST_TEST_REQUIRE(result.has_value());
+    const auto& refusal = std::get<dispatch_refusal>(*result);
+    BOOST_TEST(refusal.retry_after >= 2000);
+    BOOST_TEST(refusal.retry_after <= 3000);
+}
+
+// Guards against clients that all return in the moment when a pause ends.
+BOOST_AUTO_TEST_CASE(refused_clients_return_spread_over_time)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_announcement(first_key(fleet), {.retry_after = 2000});
+    std::set<msec> returns;
+    for (int n = 0; n < 20; ++n)
+        returns.insert(std::get<dispatch_refusal>(*fleet.ask(500)).retry_after);
+    BOOST_TEST(returns.size() > 10U);
+    BOOST_TEST(*returns.rbegin() - *returns.begin() > 200);
+}
+
+// Guards against a node that has to be refused itself by an endpoint that
+// refuses its peers.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_paused_for_a_peer_is_avoided)
+{
+    one_endpoint fleet(0, 4);
+    fleet.target.on_update("n2", pause_report_of(fleet, 2000));
+    BOOST_TEST(!next_primaries(fleet).contains("e1"));
+    fleet.time.advance(2000);
+    BOOST_TEST(next_primaries(fleet).contains("e1"));
+}
+
+// Guards against a peer's word that takes a service away: only what an endpoint
+// said to this node itself excludes the last endpoints.
+BOOST_AUTO_TEST_CASE(pauses_of_peers_do_not_exclude_the_last_endpoint)
+{
+    one_endpoint fleet(0);
+    fleet.target.on_update("n2", pause_report_of(fleet, 2000));
+    BOOST_TEST(next_primaries(fleet).contains("e1"));
+    BOOST_TEST(fleet.target.all_work().pauses_size() == 0);
+    fleet.target.on_announcement(first_key(fleet), {.retry_after = 2000});
+    BOOST_TEST(next_primaries(fleet).empty());
+    BOOST_TEST(fleet.target.all_work().pauses_size() == 1);
+}
