--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -108,6 +108,8 @@
     /// Time limit of an operation that may last until the request's deadline.
     msec until_deadline() const;
     msec read_timeout() const;
+    /// Time limit of an event of which some bytes arrive.
+    msec event_timeout() const;
     std::string endpoint_request(const dispatch_grant& grant) const;
     bool is_stream(const header_list& headers) const;
 
@@ -141,6 +143,8 @@
     std::uint32_t runs_ = 0;
     /// All attempts, including those that an endpoint refused.
     std::uint32_t attempts_ = 0;
+    /// Whether the current attempt has received the head of a response.
+    bool head_received_ = false;
     bool may_have_run_ = false;
     attempt_outcome last_outcome_ = attempt_outcome::completed;
     bool head_sent_ = false;
