A node that is partitioned from the endpoints hands its requests over

Cause: each request learnt the partition anew by four attempts, and a node that reaches no endpoint had nothing to do with a request but to refuse it. Class: a node judges the endpoints by its own links alone.

Fix (decision 12): the node notices that it reaches none, peers tell how long ago they reached one, and the request goes to such a peer, once, with its deadline, its last event and the attempts made; probes end it. A request that counts as a retry is now told by whether an endpoint may have received it, as the peer needs to know it.

--- a/src/galenapulley/counters.cpp
+++ b/src/galenapulley/counters.cpp
@@ -9,9 +9,10 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 8> retry_names{
-    "connect_failed", "back_end_failed", "stream_resumed", "stream_restarted",
-    "owner_silent",   "permit_refused",  "memory_refused", "paused"};
+constexpr std::array<std::string_view, 9> retry_names{
+    "connect_failed",   "back_end_failed", "stream_resumed",
+    "stream_restarted", "owner_silent",    "permit_refused",
+    "memory_refused",   "paused",          "handover_refused"};
 constexpr std::array<std::string_view, 5> outcome_names{
     "completed", "cancelled", "failed", "crashed", "unused"};
 constexpr std::array<std::string_view, 8> change_names{
@@ -19,7 +20,7 @@
     "lease_lost",   "config_accepted", "config_rejected", "config_applied"};
 
 static_assert(retry_names.size() ==
-              static_cast<std::size_t>(retry_reason::paused) + 1);
+              static_cast<std::size_t>(retry_reason::handover_refused) + 1);
 static_assert(outcome_names.size() ==
               static_cast<std::size_t>(permit_outcome::unused) + 1);
 static_assert(change_names.size() ==
--- a/src/galenapulley/counters.hpp
+++ b/src/galenapulley/counters.hpp
@@ -24,7 +24,8 @@
     owner_silent,
     permit_refused,
     memory_refused,
-    paused
+    paused,
+    handover_refused
 };
 
 enum class state_change
--- a/src/galenapulley/endpoint_registry.cpp
+++ b/src/galenapulley/endpoint_registry.cpp
@@ -175,6 +175,13 @@
         it->cold_until = std::max(it->cold_until, now + remaining);
 }
 
+void endpoint_registry::on_partition_end()
+{
+    for (auto& [id, it] : all_)
+        if (std::exchange(it.failures, 0) > 0)
+            it.avoid_until = 0;
+}
+
 void endpoint_registry::on_replaced(endpoint_key key, msec now)
 {
     // The entry remains until it expires in the store, so the endpoint has to
--- a/src/galenapulley/endpoint_registry.hpp
+++ b/src/galenapulley/endpoint_registry.hpp
@@ -69,6 +69,9 @@
     void on_success(endpoint_key key);
     /// The endpoint reported that it is cold.
     void on_cold(endpoint_key key, msec remaining, msec now);
+    /// This node reaches endpoints again after a partition, which explains the
+    /// failed attempts.
+    void on_partition_end();
     /// Another endpoint responded at its address.
     void on_replaced(endpoint_key key, msec now);
 
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -45,6 +45,11 @@
     std::vector<endpoint_key> tried{};
     /// Whether this attempt counts against the retry budget.
     bool is_retry = false;
+    /// Another node has handed the request over to this one.
+    bool is_relayed = false;
+    /// Whether the request may be handed over to another node if this one is
+    /// partitioned from the endpoints.
+    bool may_hand_over = false;
 };
 
 /// An endpoint that prefills a segment of the prompt for the primary endpoint.
@@ -75,7 +80,16 @@
     msec retry_after = 0;
 };
 
-using dispatch_result = std::variant<dispatch_grant, dispatch_refusal>;
+/// Another node that reaches the endpoints and takes the request.
+struct handover
+{
+    std::string node{};
+    /// Where it serves clients.
+    std::string address{};
+};
+
+using dispatch_result =
+    std::variant<dispatch_grant, dispatch_refusal, handover>;
 
 /// How an attempt at an endpoint ended.
 enum class attempt_outcome
@@ -94,6 +108,9 @@
     /// An endpoint asked for a pause after the request was placed; nothing was
     /// sent.
     paused,
+    /// Another node refused the request that was handed over to it; no endpoint
+    /// has received it.
+    handover_refused,
     /// The connection ended without a usable response after the request was
     /// sent.
     broken_before_response,
@@ -123,6 +140,8 @@
     endpoint_key at_fault = 0;
     /// Events of the stream that the endpoint sent.
     std::uint64_t events = 0;
+    /// Whether a connection to the endpoint was made.
+    bool connected = false;
 
     /// Whether the endpoint had begun the response when the attempt ended.
     bool began() const { return events >= events_of_sound_request; }
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -93,7 +93,7 @@
 void dispatcher::request(dispatch_request item, result_callback done)
 {
     const auto now = clock_.now();
-    if (auto refusal = quarantine_refusal(item))
+    if (auto refusal = early_refusal(item))
     {
         refuse(item, *std::move(refusal), done);
         return;
@@ -107,11 +107,6 @@
                done);
         return;
     }
-    if (auto refusal = pause_refusal(item))
-    {
-        refuse(item, *std::move(refusal), done);
-        return;
-    }
     auto& budget = budget_of(item.service);
     if (!item.is_retry)
     {
@@ -259,6 +254,11 @@
 bool dispatcher::try_place(const dispatch_request& item,
                            const result_callback& done)
 {
+    if (auto to = choose_peer(item))
+    {
+        hand_over(item, *std::move(to), done);
+        return true;
+    }
     const auto list = candidates(item);
     const auto choice = choose(item, list);
     if (!choice)
@@ -307,6 +307,7 @@
                                      .fingerprint = item.fingerprint,
                                      .shared_parts = item.shared_parts,
                                      .attempt = item.attempt,
+                                     .placed_at = now,
                                      .announce_first_token =
                                          choice.segment_ms > long_prefill_ms});
     wire::work_update update;
@@ -332,7 +333,7 @@
     load_.add(std::move(work), now);
     if (announcements_.rate_limit(primary.key))
         rate_share_.on_placed(primary.key, now);
-    announce_(update);
+    announce(std::move(update));
     done(std::move(out));
 }
 
@@ -372,12 +373,7 @@
         const auto it = waiting_.find(id);
         if (it == waiting_.end())
             continue;
-        if (auto refusal = quarantine_refusal(it->second.item))
-        {
-            refuse_waiting(id, *std::move(refusal));
-            continue;
-        }
-        if (auto refusal = pause_refusal(it->second.item))
+        if (auto refusal = early_refusal(it->second.item))
         {
             refuse_waiting(id, *std::move(refusal));
             continue;
@@ -404,11 +400,14 @@
 {
     load_.on_first_token(id, clock_.now());
     const auto it = running_.find(id);
-    if (it == running_.end() || !it->second.announce_first_token)
+    if (it == running_.end())
+        return;
+    record_connection(it->second, {.connected = true});
+    if (!it->second.announce_first_token)
         return;
     wire::work_update update;
     update.add_first_event(id);
-    announce_(update);
+    announce(std::move(update));
 }
 
 void dispatcher::on_finished(std::uint64_t id, const attempt_result& result)
@@ -418,15 +417,22 @@
         return;
     const auto work = std::move(it->second);
     running_.erase(it);
+    if (!work.handed_to.empty())
+    {
+        record_handover(work, result);
+        return;
+    }
     load_.remove(id, clock_.now());
+    record_connection(work, result);
     if (result.outcome == attempt_outcome::completed && !result.began())
         quarantine_.on_sound(work.shared_parts, clock_.now());
     record_failure(work, result);
     wire::work_update update;
     update.add_ended(id);
-    if (is_failure(result.outcome))
+    // What a partitioned node fails to reach may be sound.
+    if (is_failure(result.outcome) && !partition_.is_partitioned())
         update.add_failed(failed_endpoint(work, result));
-    announce_(update);
+    announce(std::move(update));
     place_waiting();
 }
 
@@ -465,6 +471,7 @@
         registry_.on_capacity_refusal(failed, now);
         return;
     case attempt_outcome::paused:
+    case attempt_outcome::handover_refused:
         return;
     case attempt_outcome::broken_before_response:
     case attempt_outcome::broken_response:
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "galenapulley/endpoint_announcements.hpp"
 #include "galenapulley/endpoint_registry.hpp"
 #include "galenapulley/fleet_load.hpp"
+#include "galenapulley/partition_detector.hpp"
 #include "galenapulley/placement_queue.hpp"
 #include "galenapulley/prompt_placement.hpp"
 #include "galenapulley/prompt_quarantine.hpp"
@@ -32,6 +33,15 @@
 class work_update;
 } // namespace wire
 
+/// Another node that may take requests from this one.
+struct peer_gateway
+{
+    /// Where it serves clients.
+    std::string address;
+    /// Processor capacity in thousandths of a core; 0 if unknown.
+    std::uint32_t capacity = 0;
+};
+
 struct dispatcher_options
 {
     std::string node;
@@ -50,6 +60,8 @@
     using announce_callback = std::function<void(const wire::work_update&)>;
     using crash_callback = std::function<void(const crash_report&)>;
     using prompts_callback = std::function<void(const prompt_reports&)>;
+    using probe_callback =
+        std::function<void(endpoint_key, const std::string& address)>;
 
     dispatcher(dispatcher_options options, const clock& time, event_log& log);
 
@@ -65,6 +77,9 @@
     {
         announce_prompts_ = std::move(fn);
     }
+    /// The callback connects to an endpoint, without a request, and reports the
+    /// result to on_probe().
+    void set_probe(probe_callback fn) { probe_ = std::move(fn); }
     /// The callback is invoked when a request begins to wait and tick() has to
     /// be called periodically.
     void set_wake(std::function<void()> fn) { wake_ = std::move(fn); }
@@ -90,6 +105,12 @@
     /// Retries the placement of waiting requests and refuses those that can no
     /// longer be served in time.
     void tick();
+    /// While this node is partitioned from the endpoints, checks whether it
+    /// still is.
+    void probe_endpoints();
+    /// A connection that a probe began at `began_at` was made, or failed.
+    void on_probe(endpoint_key key, msec began_at, bool connected);
+    bool is_partitioned() const { return partition_.is_partitioned(); }
     /// All work of this node, which replaces what the other nodes know of it.
     wire::work_update all_work() const;
     /// Forgets the work of nodes that have stopped announcing it, as they do
@@ -107,6 +128,9 @@
     /// Number of other nodes that are live, and that are known.
     void set_nodes(std::size_t live, std::size_t known);
 
+    /// Sets the live nodes of the serving set, other than this one.
+    void set_peers(std::map<std::string, peer_gateway> peers);
+
     void on_update(const std::string& node, const wire::work_update& message);
     void on_node_lost(const std::string& node);
     void on_crash_report(const crash_report& item);
@@ -134,6 +158,9 @@
         std::uint64_t fingerprint = 0;
         std::vector<prompt_part> shared_parts;
         std::string attempt;
+        msec placed_at = 0;
+        /// The node that the request was handed over to; empty if none was.
+        std::string handed_to{};
         /// Set for long prefills, whose end is announced to the other nodes.
         bool announce_first_token = false;
     };
@@ -172,6 +199,26 @@
     /// Why the request isn't worth a wait: all endpoints want a pause.
     std::optional<dispatch_refusal>
     pause_refusal(const dispatch_request& item) const;
+    /// Why the request must not, or need not, wait for an endpoint.
+    std::optional<dispatch_refusal> early_refusal(const dispatch_request& item);
+    /// Why a node that is partitioned from the endpoints can't take it.
+    std::optional<dispatch_refusal>
+    partition_refusal(const dispatch_request& item) const;
+    /// A node that has reached endpoints lately; absent if there is none.
+    std::optional<handover> choose_peer(const dispatch_request& item) const;
+    void record_peer_contact(const std::string& node,
+                             const wire::work_update& message);
+    /// Nodes that are likely to reach endpoints.
+    std::vector<std::string> peers_in_contact() const;
+    void hand_over(const dispatch_request& item, handover to,
+                   const result_callback& done);
+    void record_handover(const running_request& work,
+                         const attempt_result& result);
+    void record_connection(const running_request& work,
+                           const attempt_result& result);
+    void on_partition_change(partition_detector::change change);
+    /// Adds what this node knows of its links to the endpoints.
+    void announce(wire::work_update update);
     void place_waiting();
     void record_failure(const running_request& work,
                         const attempt_result& result);
@@ -188,6 +235,7 @@
     void log_rate_limit(const rate_limit_report& report,
                         const std::string& peer);
     void write_announcements(wire::work_update& update) const;
+    void write_contact(wire::work_update& update) const;
     void forget_removed_endpoints();
     void record_crash(const running_request& work,
                       const attempt_result& result);
@@ -213,6 +261,19 @@
     std::map<std::string, msec> heard_at_;
     endpoint_registry registry_;
     endpoint_announcements announcements_;
+    partition_detector partition_;
+    probe_callback probe_ = [](endpoint_key, const std::string&) {
+    };
+    std::uint64_t probes_ = 0;
+    std::map<std::string, peer_gateway> peers_;
+    /// What peers say of their links to the endpoints.
+    struct peer_contact
+    {
+        /// When the peer last reached an endpoint; absent if unknown.
+        std::optional<msec> at{};
+        bool partitioned = false;
+    };
+    std::map<std::string, peer_contact> peer_contacts_;
     fleet_load load_;
     rate_share rate_share_;
     placement_queue queue_;
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -94,7 +94,7 @@
         write_pause(
             {.endpoint = key, .until = announcements_.paused_until(key)}, now,
             *update.add_pauses());
-    announce_(update);
+    announce(std::move(update));
     // What waits for the endpoint may have to be refused.
     if (changes.pause)
         place_waiting();
@@ -161,6 +161,7 @@
     for (const auto* const it : load_.work_of(options_.node))
         write_entry(*it, now, *update.add_placed());
     write_announcements(update);
+    write_contact(update);
     return update;
 }
 
@@ -235,6 +236,7 @@
         record_rate_limit(read_rate_limit(it, now), node);
     for (const auto& it : message.pauses())
         record_peer_pause(read_pause(it, now), node);
+    record_peer_contact(node, message);
     if (message.ended_size() > 0 || message.complete())
         place_waiting();
 }
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -44,6 +44,23 @@
 /// deadline is not taken for a stalled endpoint.
 constexpr msec deadline_margin = 50;
 
+retry_reason reason_of(attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::unreachable:
+        return retry_reason::connect_failed;
+    case attempt_outcome::memory_refused:
+        return retry_reason::memory_refused;
+    case attempt_outcome::paused:
+        return retry_reason::paused;
+    case attempt_outcome::handover_refused:
+        return retry_reason::handover_refused;
+    default:
+        return retry_reason::back_end_failed;
+    }
+}
+
 std::string_view content_type_of(const header_list& headers)
 {
     for (const auto& [name, value] : headers)
@@ -61,6 +78,8 @@
     , request_(std::move(request))
     , deadline_timer_(state.io)
     , wake_(state.io)
+    , runs_(request_.metadata.relayed_runs.value_or(0))
+    , has_arrived_(runs_ > 0)
     , keep_alive_(!client.closes_after(request_.received))
     , last_event_(request_.metadata.last_event)
 {
@@ -111,8 +130,12 @@
             break;
         if (auto* const refusal = std::get_if<dispatch_refusal>(&*result))
             co_return co_await send_refusal(std::move(*refusal));
-        auto grant = std::get<dispatch_grant>(*std::move(result));
-        const auto next = co_await run_attempt(std::move(grant));
+        auto next = next_action::fail;
+        if (auto* const to = std::get_if<handover>(&*result))
+            next = co_await run_handover(std::move(*to));
+        else
+            next = co_await run_attempt(
+                std::get<dispatch_grant>(*std::move(result)));
         if (next == next_action::finished)
             co_return keep_alive_ && !client_.client_gone();
         if (next == next_action::fail)
@@ -139,10 +162,10 @@
             .fingerprint = request_.fingerprint,
             .shared_parts = metadata.shared_parts,
             .tried = tried_,
-            .is_retry = attempts_ > 0 &&
-                        last_outcome_ != attempt_outcome::unreachable &&
-                        last_outcome_ != attempt_outcome::memory_refused &&
-                        last_outcome_ != attempt_outcome::paused};
+            .is_retry = has_arrived_,
+            .is_relayed = metadata.relayed_runs.has_value(),
+            .may_hand_over =
+                !metadata.relayed_runs && handovers_ < max_handovers};
 }
 
 std::shared_ptr<forwarding::pending_result>
@@ -161,7 +184,7 @@
                 pending->wake->cancel();
             }
             // The request has ended meanwhile; its slot is released.
-            else if (std::holds_alternative<dispatch_grant>(result))
+            else if (!std::holds_alternative<dispatch_refusal>(result))
                 dispatch.on_finished(id,
                                      {.outcome = attempt_outcome::client_gone});
         });
@@ -183,7 +206,7 @@
         co_return std::nullopt;
     }
     if (end_ != end_reason::none &&
-        std::holds_alternative<dispatch_grant>(*pending->result))
+        !std::holds_alternative<dispatch_refusal>(*pending->result))
     {
         state_.dispatch.on_finished(id,
                                     {.outcome = attempt_outcome::client_gone});
@@ -220,6 +243,7 @@
         state_.metrics.observe(request_stage::placement,
                                placed_at_ - request_.received.received_at);
     at_fault_ = 0;
+    connected_ = false;
     head_received_ = false;
     const auto events_before = events_sent_;
     expected_first_token_ms_ = grant.expected_first_token_ms;
@@ -237,30 +261,26 @@
     state_.dispatch.on_finished(dispatch_id_,
                                 {.outcome = outcome,
                                  .at_fault = at_fault_,
-                                 .events = events_sent_ - events_before});
+                                 .events = events_sent_ - events_before,
+                                 .connected = connected_});
     tried_.push_back(at_fault_ == 0 ? grant.key : at_fault_);
     last_outcome_ = outcome;
     const auto next = action_after(outcome);
     if (next == next_action::retry)
-        record_retry(grant, outcome);
+        record_retry(grant.primary.id, outcome);
     co_return next;
 }
 
-void forwarding::record_retry(const dispatch_grant& grant,
+void forwarding::record_retry(std::string_view target,
                               attempt_outcome outcome) const
 {
     const bool resumes = events_sent_ > 0;
-    state_.count.count(
-        resumes                                   ? retry_reason::stream_resumed
-        : outcome == attempt_outcome::unreachable ? retry_reason::connect_failed
-        : outcome == attempt_outcome::memory_refused
-            ? retry_reason::memory_refused
-        : outcome == attempt_outcome::paused ? retry_reason::paused
-                                             : retry_reason::back_end_failed);
+    state_.count.count(resumes ? retry_reason::stream_resumed
+                               : reason_of(outcome));
     state_.log.write(
         resumes ? log_event::resumed : log_event::retried,
         {{"request", std::string_view(request_.metadata.attempt)},
-         {"endpoint", std::string_view(grant.primary.id)},
+         {"endpoint", target},
          {"outcome", name_of(outcome)},
          {"calls", static_cast<std::int64_t>(attempts_)},
          {"after_event", static_cast<std::int64_t>(last_event_.value_or(0))},
@@ -290,11 +310,13 @@
         co_return attempt_outcome::unreachable;
     if (connected != connection_result::done)
         co_return outcome_of(connected);
+    connected_ = true;
     if (reservation_)
         connection_->limit_silence(reservation_->silence_limit());
     if (is_paused(grant))
         co_return attempt_outcome::paused;
     auto text = endpoint_request(grant);
+    has_arrived_ = true;
     endpoint_heard_at_ = now();
     const auto head = co_await connection_->exchange_head(
         std::move(text), request_.received.method == "HEAD", read_timeout());
@@ -421,6 +443,7 @@
     case attempt_outcome::unreachable:
     case attempt_outcome::memory_refused:
     case attempt_outcome::paused:
+    case attempt_outcome::handover_refused:
     case attempt_outcome::replaced:
         return !may_have_run_ || (matched_route.retryable() && runs_left);
     case attempt_outcome::not_run:
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -56,6 +56,9 @@
 
     msec now() const { return state_.time.now(); }
     msec time_left() const { return request_.deadline - now(); }
+    /// Most nodes that a request is handed over to, one after the other.
+    static constexpr std::uint32_t max_handovers = 2;
+
     void start_deadline_timer();
     void end(end_reason reason);
 
@@ -77,9 +80,16 @@
     boost::asio::awaitable<std::optional<dispatch_result>> request_dispatch();
     /// Time until an endpoint of the service wants requests; 0 if one does now.
     boost::asio::awaitable<msec> request_pause();
-    void record_retry(const dispatch_grant& grant,
-                      attempt_outcome outcome) const;
+    /// `target`: the endpoint or node of the attempt.
+    void record_retry(std::string_view target, attempt_outcome outcome) const;
     boost::asio::awaitable<next_action> run_attempt(dispatch_grant grant);
+    /// Has another node serve the request.
+    boost::asio::awaitable<next_action> run_handover(handover to);
+    boost::asio::awaitable<attempt_outcome>
+    exchange_with_peer(const handover& to);
+    std::string peer_request() const;
+    /// Another node may have made all attempts that the route allows.
+    void use_up_attempts();
     boost::asio::awaitable<attempt_outcome>
     reserve_memory(dispatch_grant& grant);
     void start_reservation(dispatch_grant& grant);
@@ -143,9 +153,16 @@
     std::uint32_t runs_ = 0;
     /// All attempts, including those that an endpoint refused.
     std::uint32_t attempts_ = 0;
+    /// Nodes that the request was handed over to.
+    std::uint32_t handovers_ = 0;
+    /// Whether the current attempt has connected to its endpoint.
+    bool connected_ = false;
     /// Whether the current attempt has received the head of a response.
     bool head_received_ = false;
     bool may_have_run_ = false;
+    /// An endpoint may have received the request, so that the next attempt
+    /// counts against the retry budget.
+    bool has_arrived_ = false;
     attempt_outcome last_outcome_ = attempt_outcome::completed;
     bool head_sent_ = false;
     bool keep_alive_ = true;
--- a/src/gateway/forwarding_errors.cpp
+++ b/src/gateway/forwarding_errors.cpp
@@ -21,6 +21,7 @@
     case attempt_outcome::unreachable:
     case attempt_outcome::memory_refused:
     case attempt_outcome::paused:
+    case attempt_outcome::handover_refused:
         if (!may_have_run())
             co_return co_await send_not_run();
         break;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,6 +29,7 @@
 constexpr msec tick_period = work_announcer::max_delay;
 constexpr msec flush_period = 500;
 constexpr msec announce_all_period = 2000;
+constexpr msec probe_period = 500;
 constexpr msec settings_check_period = 2000;
 /// Time in which the seeds respond if one of them runs.
 constexpr msec seed_wait = 1000;
@@ -93,6 +94,7 @@
                  on_store_restored();
              }})
     , dispatcher_proxy_(loop_, dispatcher_, traffic_io_)
+    , prober_(loop_, traffic_io_)
     , traffic_{.io = traffic_io_,
                .settings = settings_,
                .format = *adapter_.format,
@@ -121,6 +123,13 @@
             wake();
         });
     dispatcher_.set_wake([this] { wake(); });
+    dispatcher_.set_probe(
+        [this](endpoint_key key, const std::string& address)
+        {
+            prober_.probe(address,
+                          [this, key, began_at = loop_.now()](bool connected)
+                          { dispatcher_.on_probe(key, began_at, connected); });
+        });
     dispatcher_.set_crash_announce(
         [this](const crash_report& item)
         {
@@ -187,6 +196,7 @@
                          update_members();
                          publish_state();
                      });
+    loop_.call_every(probe_period, [this] { dispatcher_.probe_endpoints(); });
     loop_.call_every(announce_all_period,
                      [this]
                      {
@@ -332,6 +342,7 @@
     metrics_.set(
         gauge::endpoints_known,
         static_cast<std::int64_t>(dispatcher_.endpoints().all().size()));
+    metrics_.set(gauge::partitioned, dispatcher_.is_partitioned() ? 1 : 0);
     metrics_.set(gauge::endpoints_paused,
                  static_cast<std::int64_t>(
                      dispatcher_.announcements().pauses(loop_.now()).size()));
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include "gateway/cluster_view.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/dispatcher_proxy.hpp"
+#include "gateway/endpoint_prober.hpp"
 #include "gateway/event_log.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/gateway_settings.hpp"
@@ -105,6 +106,7 @@
     cluster_view view_;
     boost::asio::io_context traffic_io_;
     dispatcher_proxy dispatcher_proxy_;
+    endpoint_prober prober_;
     traffic_state traffic_;
     traffic_server server_;
     /// Incarnations of the nodes that are alive.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -17,23 +17,12 @@
 constexpr std::array<std::string_view, request_stage_count> stage_names{
     "placement", "first_event", "pause", "whole"};
 constexpr std::array<std::string_view, gauge_count> gauge_names{
-    "configuration_version",
-    "operations_age_ms",
-    "endpoints_age_ms",
-    "store_reached",
-    "store_era",
-    "endpoints_known",
-    "endpoints_paused",
-    "live_nodes",
-    "serving_nodes",
-    "serving",
-    "peer_messages_received",
-    "peer_bytes_received",
-    "peer_bytes_sent",
-    "waiting_requests",
-    "running_requests",
-    "open_connections",
-    "body_bytes",
+    "configuration_version", "operations_age_ms", "endpoints_age_ms",
+    "store_reached",         "store_era",         "endpoints_known",
+    "endpoints_paused",      "partitioned",       "live_nodes",
+    "serving_nodes",         "serving",           "peer_messages_received",
+    "peer_bytes_received",   "peer_bytes_sent",   "waiting_requests",
+    "running_requests",      "open_connections",  "body_bytes",
     "log_lines_left_out"};
 constexpr double ms_per_second = 1000;
 
@@ -57,6 +46,9 @@
     , orders_(registry.add("galenapulley_memory_orders_total",
                            "Memory orders to endpoints by result", "answer",
                            {"done", "refused", "unclear"}))
+    , handovers_(registry.add("galenapulley_handovers_total",
+                              "Requests handed over to other nodes by outcome",
+                              "outcome", outcome_names()))
 {
 }
 
@@ -90,6 +82,11 @@
     orders_.increment(static_cast<std::size_t>(result));
 }
 
+void gateway_metrics::count_handover(attempt_outcome outcome)
+{
+    handovers_.increment(static_cast<std::size_t>(outcome));
+}
+
 void gateway_metrics::count_response(int status)
 {
     const auto group = static_cast<std::size_t>(status / 100);
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -42,6 +42,7 @@
     store_era,
     endpoints_known,
     endpoints_paused,
+    partitioned,
     live_nodes,
     serving_nodes,
     serving,
@@ -69,6 +70,8 @@
     void set_serving_set(std::map<std::string, serving_reason> members);
     void count(attempt_outcome outcome);
     void count(order_result result);
+    /// Counts the end of an attempt at another node.
+    void count_handover(attempt_outcome outcome);
     void count_response(int status);
 
     /// Histograms and gauges in the metrics text format.
@@ -89,6 +92,7 @@
     counter_family& outcomes_;
     counter_family& responses_;
     counter_family& orders_;
+    counter_family& handovers_;
     std::array<histogram, request_stage_count> histograms_;
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
     mutable std::mutex serving_set_mutex_;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -116,12 +116,19 @@
     // A node may return under its name at another address.
     std::set<std::string> core;
     std::map<std::string, std::string> peers;
+    std::map<std::string, peer_gateway> gateways;
     for (const auto& [node, reason] : serving_set_.members())
     {
         core.insert(node);
-        if (const auto* const it = members_.find(node))
-            peers.emplace(node, it->peer_address);
+        const auto* const it = members_.find(node);
+        if (it == nullptr)
+            continue;
+        peers.emplace(node, it->peer_address);
+        if (!it->listen_address.empty())
+            gateways.emplace(node, peer_gateway{.address = it->listen_address,
+                                                .capacity = it->capacity});
     }
+    dispatcher_.set_peers(std::move(gateways));
     announcer_.set_serving(std::move(peers));
     members_.set_core(serving_set_.has_standbys() ? std::move(core)
                                                   : std::set<std::string>(),
--- a/src/gateway/wire_format.hpp
+++ b/src/gateway/wire_format.hpp
@@ -37,6 +37,9 @@
     std::vector<prompt_part> shared_parts{};
     /// Id of the last event of the stream that the client has received.
     std::optional<std::uint64_t> last_event{};
+    /// Set if another node has handed the request over: the attempts that may
+    /// have started it there.
+    std::optional<std::uint32_t> relayed_runs{};
 };
 
 /// What the gateway sends to an endpoint beside the client's own headers.
@@ -52,6 +55,16 @@
     std::vector<std::pair<std::string, std::string>> helpers{};
 };
 
+/// What a node that hands a request over to another one adds to it.
+struct relay_metadata
+{
+    msec time_left = 0;
+    /// Attempts that may have started the request.
+    std::uint32_t runs = 0;
+    /// The last event that the client has received of a stream.
+    std::optional<std::uint64_t> last_event{};
+};
+
 /// Metadata in the headers and status of an endpoint's response.
 struct response_metadata
 {
@@ -112,6 +125,10 @@
     virtual header_list
     endpoint_headers(const header_list& client,
                      const forwarding_metadata& metadata) const = 0;
+    /// The headers for another node that takes the request over: the client's,
+    /// without those that apply to one connection, and `metadata`'s.
+    virtual header_list relay_headers(const header_list& client,
+                                      const relay_metadata& metadata) const = 0;
     virtual response_metadata
     read_response(int status, const header_list& headers) const = 0;
 
