Stop: requests that still run at the end of the grace are answered

Now all that still runs 0.6 s before the end of the grace is answered, 502 if it may have run and 503 if not. gateway_stop_test: a_request_still_running_at_the_end_is_answered failed before (no response) and passes; the case of a request that still waits passed before as well.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -129,6 +129,12 @@
         abort();
 }
 
+void client_connection::end_request()
+{
+    if (forwarded_ != nullptr)
+        forwarded_->on_node_ending();
+}
+
 void client_connection::abort()
 {
     disconnected_ = true;
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -45,6 +45,8 @@
     boost::asio::awaitable<void> serve();
     /// Closes the connection if no request is being served.
     void close_if_idle();
+    /// Has the request that is being forwarded answered now.
+    void end_request();
     /// Closes the connection at once.
     void abort();
 
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -116,7 +116,8 @@
     broken_before_response,
     /// The response ended early.
     broken_response,
-    /// The client's deadline or the route's timeout has passed.
+    /// The client's deadline or the route's timeout has passed, or the process
+    /// ends.
     timed_out,
     /// The endpoint sent nothing for too long; another one may continue.
     stalled,
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -97,6 +97,11 @@
     end(end_reason::client_gone);
 }
 
+void forwarding::on_node_ending()
+{
+    end(end_reason::node_ending);
+}
+
 void forwarding::end(end_reason reason)
 {
     if (end_ == end_reason::none)
@@ -397,7 +402,7 @@
 {
     if (end_ == end_reason::client_gone)
         return attempt_outcome::client_gone;
-    if (end_ == end_reason::deadline_passed)
+    if (end_ != end_reason::none)
         return attempt_outcome::timed_out;
     if (result == connection_result::timed_out)
         return attempt_outcome::stalled;
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -37,13 +37,16 @@
     boost::asio::awaitable<bool> run();
     /// Cancels the request at the endpoint.
     void on_client_gone();
+    /// The process ends soon: the client gets its response now.
+    void on_node_ending();
 
 private:
     enum class end_reason
     {
         none,
         client_gone,
-        deadline_passed
+        deadline_passed,
+        node_ending
     };
 
     /// What follows an attempt at an endpoint.
--- a/src/gateway/forwarding_errors.cpp
+++ b/src/gateway/forwarding_errors.cpp
@@ -64,6 +64,12 @@
         client_.abort();
         co_return false;
     }
+    if (end_ == end_reason::node_ending)
+        co_return co_await send_failure(
+            may_have_run() ? error_kind::back_end_failed
+                           : error_kind::node_leaving,
+            "this node is shutting down",
+            error_response_for(error_kind::node_leaving).retry_after);
     if (may_have_run())
         co_return co_await send_failure(error_kind::deadline_exceeded,
                                         "deadline passed at the endpoint", 0);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,8 @@
 constexpr double linger_share = 0.62;
 /// The process ends by itself this long before the grace period is over.
 constexpr msec stop_margin = 400;
+/// Before that, for so long, the requests that still run are answered.
+constexpr msec last_answers_time = 200;
 /// Request bodies may use one part in this many of the memory limit.
 constexpr std::size_t body_memory_divisor = 4;
 
@@ -273,6 +275,8 @@
     const auto grace = static_cast<double>(settings_.stop_grace);
     const bool refusing = spent >= static_cast<msec>(serving_share * grace);
     server_.post([this, refusing] { traffic_.refusing = refusing; });
+    if (spent >= settings_.stop_grace - stop_margin - last_answers_time)
+        server_.post([this] { server_.end_requests(); });
     const bool idle = dispatcher_.running() + dispatcher_.waiting() == 0;
     if ((idle && spent >= static_cast<msec>(linger_share * grace)) ||
         spent >= settings_.stop_grace - stop_margin)
--- a/src/gateway/traffic_server.cpp
+++ b/src/gateway/traffic_server.cpp
@@ -106,4 +106,13 @@
             connection->close_if_idle();
 }
 
+void traffic_server::end_requests()
+{
+    // Ending a request may remove its connection.
+    const auto connections = connections_;
+    for (const auto& it : connections)
+        if (const auto connection = it.lock())
+            connection->end_request();
+}
+
 } // namespace galenapulley
--- a/src/gateway/traffic_server.hpp
+++ b/src/gateway/traffic_server.hpp
@@ -37,6 +37,8 @@
     void post(std::function<void()> fn);
     /// Closes connections on which no request is being served.
     void close_idle();
+    /// Has all requests that are being forwarded answered now.
+    void end_requests();
 
 private:
     boost::asio::awaitable<void> accept(boost::asio::ip::tcp::acceptor& on,
