--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -26,6 +26,15 @@
     return out + "Content-Length: 0\r\n\r\n";
 }
 
+msec pause_of(const endpoint_behaviour& behaviour)
+{
+    constexpr double ms_per_second = 1000;
+    if (!behaviour.refuses_requests || behaviour.retry_after.empty())
+        return 0;
+    return static_cast<msec>(ms_per_second *
+                             std::stod(behaviour.retry_after.front()));
+}
+
 /// Whether the request's prompt contains the part.
 bool has_part(const wire_request& request, const std::string& part)
 {
@@ -224,7 +233,9 @@
                               .body = request.body(),
                               .run = !behaviour.refuses_requests &&
                                      !behaviour.replaced,
-                              .at = time_.now()};
+                              .at = time_.now(),
+                              .asked_pause = pause_of(behaviour),
+                              .incarnation = incarnation_};
         for (const auto& it : request)
             item.headers.emplace(it.name_string(), it.value());
         received_.push_back(std::move(item));
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -89,6 +89,10 @@
     std::multimap<std::string, std::string> headers;
     bool run = false;
     msec at = 0;
+    /// The pause that the response asked for.
+    msec asked_pause = 0;
+    /// Number of starts of the endpoint when it arrived.
+    std::uint64_t incarnation = 0;
 
     std::string header(const std::string& name) const;
 };
