--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -402,8 +402,10 @@
     const auto it = running_.find(id);
     if (it == running_.end())
         return;
+    const bool announces = it->second.announce_first_token;
+    // May place waiting requests, which invalidates the iterator.
     record_connection(it->second, {.connected = true});
-    if (!it->second.announce_first_token)
+    if (!announces)
         return;
     wire::work_update update;
     update.add_first_event(id);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -544,3 +544,156 @@
     BOOST_TEST(next_primaries(fleet).empty());
     BOOST_TEST(fleet.target.all_work().pauses_size() == 1);
 }
+
+namespace
+{
+
+/// A node with peers "n2" and "n3" and eight endpoints.
+struct node_with_peers : one_endpoint
+{
+    std::vector<wire::work_update> announced;
+    std::vector<endpoint_key> probed;
+
+    node_with_peers() : one_endpoint(0, 8)
+    {
+        target.set_announce([this](const wire::work_update& it)
+                            { announced.push_back(it); });
+        target.set_probe([this](endpoint_key key, const std::string&)
+                         { probed.push_back(key); });
+        target.set_peers({{"n2", {.address = "10.1.0.2:80"}},
+                          {"n3", {.address = "10.1.0.3:80"}}});
+    }
+
+    void hear(const std::string& peer, std::optional<msec> contact_age,
+              bool partitioned)
+    {
+        wire::work_update update;
+        if (contact_age)
+            update.set_contact_age_ms(static_cast<std::uint32_t>(*contact_age));
+        update.set_partitioned(partitioned);
+        target.on_update(peer, update);
+    }
+
+    std::optional<dispatch_result> ask_for(bool relayed, bool may_hand_over)
+    {
+        std::optional<dispatch_result> out;
+        target.request({.id = ++next,
+                        .attempt = "t",
+                        .table = table,
+                        .matched_route = table->find("h", "/x"),
+                        .service = "svc",
+                        .prompt_tokens = 500,
+                        .received_at = time.now(),
+                        .deadline = time.now() + 15'000,
+                        .is_relayed = relayed,
+                        .may_hand_over = may_hand_over},
+                       [&out](dispatch_result it) { out = std::move(it); });
+        if (!out)
+            target.cancel(next);
+        return out;
+    }
+
+    /// Fails attempts at endpoints until the node takes itself for partitioned.
+    void lose_endpoints()
+    {
+        while (!target.is_partitioned())
+        {
+            BOOST_TEST_REQUIRE(ask(500).has_value());
+            target.on_finished(next, {.outcome = attempt_outcome::unreachable});
+            time.advance(10);
+        }
+    }
+
+    /// The peers that the next requests are handed over to.
+    std::set<std::string> peers_asked()
+    {
+        std::set<std::string> out;
+        for (int n = 0; n < 20; ++n)
+        {
+            const auto result = ask_for(false, true);
+            if (!result)
+                continue;
+            if (const auto* const to = std::get_if<handover>(&*result))
+                out.insert(to->node);
+            target.on_finished(next, {});
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+// Guards against requests that a partitioned node passes to nodes which are
+// partitioned as well.
+BOOST_FIXTURE_TEST_CASE(requests_go_to_peers_that_reach_endpoints,
+                        node_with_peers)
+{
+    hear("n2", 0, false);
+    hear("n3", 4000, false);
+    lose_endpoints();
+    BOOST_TEST((peers_asked() == std::set<std::string>{"n2"}));
+    hear("n3", 0, false);
+    hear("n2", 0, true);
+    BOOST_TEST((peers_asked() == std::set<std::string>{"n3"}));
+    hear("n3", std::nullopt, true);
+    BOOST_TEST(peers_asked().empty());
+}
+
+// Guards against a peer that refuses a request and gets the next ones at once.
+BOOST_FIXTURE_TEST_CASE(a_peer_that_refused_a_request_is_avoided,
+                        node_with_peers)
+{
+    hear("n2", 0, false);
+    lose_endpoints();
+    const auto result = ask_for(false, true);
+    BOOST_TEST(std::get<handover>(*result).node == "n2");
+    hear("n3", 0, false);
+    target.on_finished(next, {.outcome = attempt_outcome::handover_refused});
+    BOOST_TEST((peers_asked() == std::set<std::string>{"n3"}));
+}
+
+// Guards against requests that are handed over more than once.
+BOOST_FIXTURE_TEST_CASE(a_partitioned_node_refuses_relayed_requests,
+                        node_with_peers)
+{
+    hear("n2", 0, false);
+    lose_endpoints();
+    const auto result = ask_for(true, false);
+    BOOST_TEST_REQUIRE(result.has_value());
+    const auto& refusal = std::get<dispatch_refusal>(*result);
+    BOOST_TEST((refusal.kind == error_kind::isolated));
+}
+
+// Guards against sound endpoints that peers avoid because of a node that is
+// partitioned from them.
+BOOST_FIXTURE_TEST_CASE(a_partitioned_node_reports_no_endpoint_as_failing,
+                        node_with_peers)
+{
+    const auto last = ask(500);
+    const auto last_id = next;
+    lose_endpoints();
+    announced.clear();
+    target.on_finished(last_id, {.outcome = attempt_outcome::unreachable});
+    for (const auto& it : announced)
+        BOOST_TEST(it.failed_size() == 0);
+    BOOST_TEST(announced.back().partitioned());
+}
+
+// Guards against a node that stays partitioned, and against endpoints that it
+// still avoids afterwards.
+BOOST_FIXTURE_TEST_CASE(probes_end_a_partition, node_with_peers)
+{
+    hear("n2", 0, false);
+    lose_endpoints();
+    BOOST_TEST_REQUIRE(probed.size() == 2U);
+    BOOST_TEST(probed[0] != probed[1]);
+    time.advance(10);
+    target.on_probe(probed[0], time.now(), true);
+    BOOST_TEST(target.is_partitioned());
+    target.on_probe(probed[1], time.now(), true);
+    BOOST_TEST(!target.is_partitioned());
+    BOOST_TEST(!announced.back().partitioned());
+    BOOST_TEST(peers_asked().empty());
+    const auto result = ask_for(false, true);
+    BOOST_TEST(std::holds_alternative<dispatch_grant>(*result));
+}
--- a/tests/unit/platform_format_test.cpp
+++ b/tests/unit/platform_format_test.cpp
@@ -231,3 +231,36 @@
     for (const int status : {200, 421, 429, 500})
         BOOST_TEST(!pause_in(status, {{"Retry-After", "2"}}).has_value());
 }
+
+// Guards against a request that reaches another node with the deadline or the
+// progress that it had at first.
+BOOST_AUTO_TEST_CASE(a_request_for_another_node_has_its_current_metadata)
+{
+    const platform_format format;
+    const header_list client{
+        {"Host", "h"},
+        {"X-Api-Key", "k"},
+        {"Galenapulley-Attempt-Id", "t"},
+        {"Galenapulley-Deadline-Ms", "9000"},
+        {"Last-Event-Id", "2"},
+        {"Gateway-Relayed-Runs", "7"},
+        {"Connection", "close"},
+    };
+    const auto out = format.relay_headers(
+        client, {.time_left = 1200, .runs = 1, .last_event = 5});
+    const header_list expected{
+        {"Host", "h"},
+        {"X-Api-Key", "k"},
+        {"Galenapulley-Attempt-Id", "t"},
+        {"Galenapulley-Deadline-Ms", "1200"},
+        {"Gateway-Relayed-Runs", "1"},
+        {"Last-Event-Id", "5"},
+    };
+    BOOST_TEST((out == expected));
+    const auto read = format.read_request(out);
+    BOOST_TEST_REQUIRE(read.ok());
+    BOOST_TEST((read->relayed_runs == 1U));
+    BOOST_TEST((read->deadline == 1200));
+    BOOST_TEST((read->last_event == 5U));
+    BOOST_TEST(read->api_key == "k");
+}
