--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "galenapulley/endpoint_announcements.hpp"
 #include "galenapulley/endpoint_registry.hpp"
 #include "galenapulley/fleet_load.hpp"
+#include "galenapulley/handover_targets.hpp"
 #include "galenapulley/partition_detector.hpp"
 #include "galenapulley/placement_queue.hpp"
 #include "galenapulley/prompt_placement.hpp"
@@ -20,6 +21,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace galenapulley
@@ -33,15 +35,6 @@
 class work_update;
 } // namespace wire
 
-/// Another node that may take requests from this one.
-struct peer_gateway
-{
-    /// Where it serves clients.
-    std::string address;
-    /// Processor capacity in thousandths of a core; 0 if unknown.
-    std::uint32_t capacity = 0;
-};
-
 struct dispatcher_options
 {
     std::string node;
@@ -129,7 +122,10 @@
     void set_nodes(std::size_t live, std::size_t known);
 
     /// Sets the live nodes of the serving set, other than this one.
-    void set_peers(std::map<std::string, peer_gateway> peers);
+    void set_peers(std::map<std::string, peer_gateway> peers)
+    {
+        handover_targets_.set_peers(std::move(peers));
+    }
 
     void on_update(const std::string& node, const wire::work_update& message);
     void on_node_lost(const std::string& node);
@@ -204,12 +200,10 @@
     /// Why a node that is partitioned from the endpoints can't take it.
     std::optional<dispatch_refusal>
     partition_refusal(const dispatch_request& item) const;
-    /// A node that has reached endpoints lately; absent if there is none.
+    /// A node that is likely to reach endpoints, while this one doesn't.
     std::optional<handover> choose_peer(const dispatch_request& item) const;
     void record_peer_contact(const std::string& node,
                              const wire::work_update& message);
-    /// Nodes that are likely to reach endpoints.
-    std::vector<std::string> peers_in_contact() const;
     void hand_over(const dispatch_request& item, handover to,
                    const result_callback& done);
     void record_handover(const running_request& work,
@@ -265,15 +259,7 @@
     probe_callback probe_ = [](endpoint_key, const std::string&) {
     };
     std::uint64_t probes_ = 0;
-    std::map<std::string, peer_gateway> peers_;
-    /// What peers say of their links to the endpoints.
-    struct peer_contact
-    {
-        /// When the peer last reached an endpoint; absent if unknown.
-        std::optional<msec> at{};
-        bool partitioned = false;
-    };
-    std::map<std::string, peer_contact> peer_contacts_;
+    handover_targets handover_targets_;
     fleet_load load_;
     rate_share rate_share_;
     placement_queue queue_;
--- a/src/gateway/dispatcher_partition.cpp
+++ b/src/gateway/dispatcher_partition.cpp
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 // A node that is partitioned from the endpoints hands its requests over to
@@ -18,11 +17,6 @@
 namespace
 {
 
-/// A peer that reached an endpoint this long before the partition was noticed,
-/// or later, isn't taken to be partitioned as well.
-constexpr msec detection_time = 500;
-/// Longest time since the last contact of a peer that is preferred.
-constexpr msec recent_contact = 3000;
 /// Endpoints that are probed at a time.
 constexpr std::size_t probes_at_once = partition_detector::regained_endpoints;
 /// Another node may serve the client at once.
@@ -30,13 +24,6 @@
 
 } // namespace
 
-void dispatcher::set_peers(std::map<std::string, peer_gateway> peers)
-{
-    peers_ = std::move(peers);
-    std::erase_if(peer_contacts_, [this](const auto& it)
-                  { return !peers_.contains(it.first); });
-}
-
 void dispatcher::write_contact(wire::work_update& update) const
 {
     update.set_partitioned(partition_.is_partitioned());
@@ -67,7 +54,10 @@
     if (!partition_.is_partitioned() || item.may_hand_over)
         return std::nullopt;
     // Without a node that reaches the endpoints, they are down for all.
-    if (!item.is_relayed && peers_in_contact().empty())
+    const bool others_reach_them =
+        handover_targets_.choose(*partition_.partitioned_at(), clock_.now(),
+                                 0) != nullptr;
+    if (!item.is_relayed && !others_reach_them)
         return std::nullopt;
     return dispatch_refusal{.kind = error_kind::isolated,
                             .reason = "this node reaches no endpoint",
@@ -77,30 +67,10 @@
 void dispatcher::record_peer_contact(const std::string& node,
                                      const wire::work_update& message)
 {
-    auto& it = peer_contacts_[node];
+    std::optional<msec> contact_at;
     if (message.has_contact_age_ms())
-        it.at = clock_.now() - message.contact_age_ms();
-    if (message.has_partitioned())
-        it.partitioned = message.partitioned();
-}
-
-std::vector<std::string> dispatcher::peers_in_contact() const
-{
-    const auto needed = std::max(*partition_.partitioned_at() - detection_time,
-                                 clock_.now() - recent_contact);
-    std::vector<std::string> recent;
-    std::vector<std::string> others;
-    for (const auto& [node, it] : peers_)
-    {
-        const auto known = peer_contacts_.find(node);
-        const auto contact =
-            known == peer_contacts_.end() ? peer_contact{} : known->second;
-        if (contact.partitioned)
-            continue;
-        const bool is_recent = contact.at && *contact.at >= needed;
-        (is_recent ? recent : others).push_back(node);
-    }
-    return recent.empty() ? others : recent;
+        contact_at = clock_.now() - message.contact_age_ms();
+    handover_targets_.on_report(node, contact_at, message.partitioned());
 }
 
 std::optional<handover>
@@ -108,22 +78,12 @@
 {
     if (!partition_.is_partitioned() || !item.may_hand_over)
         return std::nullopt;
-    const auto nodes = peers_in_contact();
-    if (nodes.empty())
+    const auto draw = XXH64(&item.id, sizeof(item.id), 0);
+    const auto* const chosen = handover_targets_.choose(
+        *partition_.partitioned_at(), clock_.now(), draw);
+    if (chosen == nullptr)
         return std::nullopt;
-    // In proportion to their capacity.
-    const auto weight_of = [this](const std::string& node)
-    {
-        return std::max<std::uint64_t>(peers_.at(node).capacity, 1);
-    };
-    const auto total = std::accumulate(
-        nodes.begin(), nodes.end(), std::uint64_t{0},
-        [&](std::uint64_t sum, const auto& it) { return sum + weight_of(it); });
-    auto draw = XXH64(&item.id, sizeof(item.id), 0) % total;
-    auto it = nodes.begin();
-    for (; draw >= weight_of(*it); ++it)
-        draw -= weight_of(*it);
-    return handover{.node = *it, .address = peers_.at(*it).address};
+    return handover{.node = chosen->first, .address = chosen->second.address};
 }
 
 void dispatcher::hand_over(const dispatch_request& item, handover to,
@@ -143,10 +103,9 @@
 void dispatcher::record_handover(const running_request& work,
                                  const attempt_result& result)
 {
-    // It is preferred again once it announces a newer contact.
     if (result.outcome == attempt_outcome::unreachable ||
         result.outcome == attempt_outcome::handover_refused)
-        peer_contacts_[work.handed_to].at.reset();
+        handover_targets_.on_refused(work.handed_to);
 }
 
 void dispatcher::record_connection(const running_request& work,
@@ -170,7 +129,7 @@
     log_.write(
         began ? log_event::partitioned : log_event::partition_ended,
         {{"endpoints", static_cast<std::int64_t>(registry_.all().size())},
-         {"peers", static_cast<std::int64_t>(peers_.size())}});
+         {"peers", static_cast<std::int64_t>(handover_targets_.size())}});
     if (began)
         probe_endpoints();
     else
