--- a/src/galenapulley/endpoint_announcement.hpp
+++ b/src/galenapulley/endpoint_announcement.hpp
@@ -16,6 +16,8 @@
     /// Time for which it wants no requests from this node; absent if it names
     /// none.
     std::optional<msec> retry_after{};
+    /// It leaves: it ends what runs and wants no new requests.
+    bool leaving = false;
 };
 
 } // namespace galenapulley
--- a/src/galenapulley/endpoint_announcements.cpp
+++ b/src/galenapulley/endpoint_announcements.cpp
@@ -19,9 +19,20 @@
     if (announced.retry_after)
         out.pause =
             extend_pause(key, at + std::min(*announced.retry_after, max_pause));
+    if (announced.leaving)
+        out.leaving = set_leaving(key, at);
     return out;
 }
 
+bool endpoint_announcements::set_leaving(endpoint_key key, msec at)
+{
+    auto& it = known_[key];
+    is_empty_ = false;
+    const bool is_new = it.leaving_until <= at;
+    it.leaving_until = at + leaving_memory;
+    return is_new;
+}
+
 bool endpoint_announcements::record_pause(endpoint_key key, msec retry_after,
                                           msec at)
 {
@@ -80,6 +91,11 @@
     return paused_until(key) > now;
 }
 
+bool endpoint_announcements::is_leaving(endpoint_key key, msec now) const
+{
+    return find(key).leaving_until > now;
+}
+
 msec endpoint_announcements::paused_until(endpoint_key key) const
 {
     return find(key).paused_until;
@@ -109,6 +125,16 @@
     return out;
 }
 
+std::vector<endpoint_key> endpoint_announcements::leaving(msec now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint_key> out;
+    for (const auto& [key, it] : known_)
+        if (it.leaving_until > now)
+            out.push_back(key);
+    return out;
+}
+
 void endpoint_announcements::retain(const std::set<endpoint_key>& known)
 {
     const std::lock_guard lock(mutex_);
--- a/src/galenapulley/endpoint_announcements.hpp
+++ b/src/galenapulley/endpoint_announcements.hpp
@@ -36,13 +36,15 @@
 {
     bool rate_limit = false;
     bool pause = false;
+    bool leaving = false;
 
-    bool any() const { return rate_limit || pause; }
+    bool any() const { return rate_limit || pause || leaving; }
 };
 
-/// What each incarnation of an endpoint has announced of itself: its rate limit
-/// and the pause that it wants. Placement asks it, and so does the thread that
-/// sends a request, as a pause may begin in between. Thread-safe.
+/// What each incarnation of an endpoint has announced of itself: its rate
+/// limit, the pause that it wants, and that it leaves. Placement asks it, and
+/// so does the thread that sends a request, as a pause may begin in between.
+/// Thread-safe.
 class endpoint_announcements
 {
 public:
@@ -59,6 +61,8 @@
     std::optional<double> rate_limit(endpoint_key key) const;
     /// Whether the endpoint wants no requests from this node now.
     bool is_paused(endpoint_key key, msec now) const;
+    /// Whether the endpoint said that it leaves.
+    bool is_leaving(endpoint_key key, msec now) const;
     /// When the pause that the endpoint asked this node for ends; 0 if it asked
     /// for none.
     msec paused_until(endpoint_key key) const;
@@ -69,6 +73,7 @@
     std::vector<rate_limit_report> rate_limits(msec now) const;
     /// The pauses that go on.
     std::vector<pause_report> pauses(msec now) const;
+    std::vector<endpoint_key> leaving(msec now) const;
 
     /// Forgets all other incarnations.
     void retain(const std::set<endpoint_key>& known);
@@ -76,6 +81,9 @@
     /// Longest pause that is believed, so that a faulty endpoint isn't lost for
     /// good; far longer than endpoints in need ask for.
     static constexpr msec max_pause = 60'000;
+    /// Time for which an endpoint that said that it leaves isn't used, unless
+    /// it starts again; far longer than leaving takes.
+    static constexpr msec leaving_memory = 600'000;
     /// Time for which the end of a rate limit is remembered, so that peers'
     /// older reports don't restore it.
     static constexpr msec limit_end_memory = 10'000;
@@ -88,10 +96,13 @@
         /// has named one.
         std::optional<msec> rate_limit_at{};
         msec paused_until = 0;
+        /// End of the time for which it counts as leaving; 0 if it doesn't.
+        msec leaving_until = 0;
     };
 
     bool set_rate_limit(const rate_limit_report& report);
     bool extend_pause(endpoint_key key, msec until);
+    bool set_leaving(endpoint_key key, msec at);
 
     known_announcements find(endpoint_key key) const;
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -177,7 +177,8 @@
                          const endpoint_load& load) const
 {
     if (withdrawn_.contains(it.description.failure_domain) ||
-        announcements_.is_paused(it.key, clock_.now()))
+        announcements_.is_paused(it.key, clock_.now()) ||
+        announcements_.is_leaving(it.key, clock_.now()))
         return false;
     if (std::find(item.tried.begin(), item.tried.end(), it.key) !=
         item.tried.end())
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -226,6 +226,8 @@
     bool record_rate_limit(const rate_limit_report& report,
                            const std::string& peer);
     void record_peer_pause(const pause_report& report, const std::string& peer);
+    void record_peer_leaving(endpoint_key key, const std::string& peer);
+    void log_leaving(endpoint_key key, const std::string& peer);
     void log_rate_limit(const rate_limit_report& report,
                         const std::string& peer);
     void write_announcements(wire::work_update& update) const;
--- a/src/gateway/dispatcher_pauses.cpp
+++ b/src/gateway/dispatcher_pauses.cpp
@@ -26,10 +26,12 @@
 dispatcher::first_pause_end(const std::string& service,
                             const std::vector<endpoint_key>& excluded) const
 {
+    const auto now = clock_.now();
     std::optional<msec> first;
     for (const auto& [id, it] : registry_.all())
     {
         if (it.description.service != service || it.description.draining ||
+            announcements_.is_leaving(it.key, now) ||
             withdrawn_.contains(it.description.failure_domain) ||
             std::find(excluded.begin(), excluded.end(), it.key) !=
                 excluded.end())
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -94,12 +94,36 @@
         write_pause(
             {.endpoint = key, .until = announcements_.paused_until(key)}, now,
             *update.add_pauses());
+    if (changes.leaving)
+    {
+        log_leaving(key, {});
+        update.add_leaving(key);
+    }
     announce(std::move(update));
     // What waits for the endpoint may have to be refused.
     if (changes.pause)
         place_waiting();
 }
 
+void dispatcher::log_leaving(endpoint_key key, const std::string& peer)
+{
+    const auto& known = *registry_.find(key);
+    log_.write(
+        log_event::endpoint_leaving,
+        {{"endpoint", std::string_view(known.description.id)},
+         {"failure_domain", std::string_view(known.description.failure_domain)},
+         {"reported_by", std::string_view(peer)}});
+}
+
+void dispatcher::record_peer_leaving(endpoint_key key, const std::string& peer)
+{
+    // A hint like a pause, repeated as long as the peer holds it to be true.
+    const auto now = clock_.now();
+    if (registry_.on_peer_pause(key, now + endpoint_announcements::max_pause,
+                                now))
+        log_leaving(key, peer);
+}
+
 void dispatcher::record_peer_pause(const pause_report& report,
                                    const std::string& peer)
 {
@@ -143,6 +167,8 @@
         write_rate_limit(it, now, *update.add_rate_limits());
     for (const auto& it : announcements_.pauses(now))
         write_pause(it, now, *update.add_pauses());
+    for (const auto key : announcements_.leaving(now))
+        update.add_leaving(key);
 }
 
 void dispatcher::forget_removed_endpoints()
@@ -236,6 +262,8 @@
         record_rate_limit(read_rate_limit(it, now), node);
     for (const auto& it : message.pauses())
         record_peer_pause(read_pause(it, now), node);
+    for (const auto key : message.leaving())
+        record_peer_leaving(key, node);
     record_peer_contact(node, message);
     if (message.ended_size() > 0 || message.complete())
         place_waiting();
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -51,6 +51,7 @@
     {endpoint_avoided, "endpoint_avoided", warn},
     {rate_limited, "rate_limited", warn},
     {pause_requested, "pause_requested", warn},
+    {endpoint_leaving, "endpoint_leaving", info},
     {partitioned, "partitioned", warn},
     {partition_ended, "partition_ended", info},
     {request_read, "request_read", debug},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -44,6 +44,7 @@
     endpoint_avoided,
     rate_limited,
     pause_requested,
+    endpoint_leaving,
     partitioned,
     partition_ended,
     request_read,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -346,6 +346,9 @@
     metrics_.set(
         gauge::endpoints_known,
         static_cast<std::int64_t>(dispatcher_.endpoints().all().size()));
+    metrics_.set(gauge::endpoints_leaving,
+                 static_cast<std::int64_t>(
+                     dispatcher_.announcements().leaving(loop_.now()).size()));
     metrics_.set(gauge::partitioned, dispatcher_.is_partitioned() ? 1 : 0);
     metrics_.set(gauge::endpoints_paused,
                  static_cast<std::int64_t>(
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -17,12 +17,25 @@
 constexpr std::array<std::string_view, request_stage_count> stage_names{
     "placement", "first_event", "pause", "whole"};
 constexpr std::array<std::string_view, gauge_count> gauge_names{
-    "configuration_version", "operations_age_ms", "endpoints_age_ms",
-    "store_reached",         "store_era",         "endpoints_known",
-    "endpoints_paused",      "partitioned",       "live_nodes",
-    "serving_nodes",         "serving",           "peer_messages_received",
-    "peer_bytes_received",   "peer_bytes_sent",   "waiting_requests",
-    "running_requests",      "open_connections",  "body_bytes",
+    "configuration_version",
+    "operations_age_ms",
+    "endpoints_age_ms",
+    "store_reached",
+    "store_era",
+    "endpoints_known",
+    "endpoints_paused",
+    "endpoints_leaving",
+    "partitioned",
+    "live_nodes",
+    "serving_nodes",
+    "serving",
+    "peer_messages_received",
+    "peer_bytes_received",
+    "peer_bytes_sent",
+    "waiting_requests",
+    "running_requests",
+    "open_connections",
+    "body_bytes",
     "log_lines_left_out"};
 constexpr double ms_per_second = 1000;
 
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -42,6 +42,7 @@
     store_era,
     endpoints_known,
     endpoints_paused,
+    endpoints_leaving,
     partitioned,
     live_nodes,
     serving_nodes,
--- a/src/gateway/work_announcer.cpp
+++ b/src/gateway/work_announcer.cpp
@@ -13,7 +13,8 @@
 bool is_urgent(const wire::work_update& update)
 {
     return update.placed_size() > 0 || update.failed_size() > 0 ||
-           update.rate_limits_size() > 0 || update.pauses_size() > 0;
+           update.rate_limits_size() > 0 || update.pauses_size() > 0 ||
+           update.leaving_size() > 0;
 }
 
 } // namespace
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -212,6 +212,8 @@
            std::string(request["Galenapulley-Attempt-Id"]) + "\r\n";
     out += "Galenapulley-Server-Seal: seal-" + id_ + "\r\n";
     const std::lock_guard lock(mutex_);
+    if (behaviour_.leaving)
+        out += "Server-Leaving: 1\r\n";
     if (!behaviour_.rate_limit.empty())
         out += "Server-Limit: " + behaviour_.rate_limit + "\r\n";
     return out;
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -67,6 +67,8 @@
     std::string crashes_on_part{};
     /// Requests per second that its responses name as its limit, if any.
     std::string rate_limit{};
+    /// Its responses say that it leaves.
+    bool leaving = false;
     /// The Retry-After headers of its refusals, of requests and of memory.
     std::vector<std::string> retry_after{};
 };
--- a/tests/unit/endpoint_announcements_test.cpp
+++ b/tests/unit/endpoint_announcements_test.cpp
@@ -56,6 +56,20 @@
     BOOST_TEST(!known.is_paused(key, start));
 }
 
+// Guards against an endpoint that is used again before it has left, and against
+// one that is lost for good because it always says that it leaves.
+BOOST_AUTO_TEST_CASE(leaving_is_remembered_for_a_bounded_time)
+{
+    endpoint_announcements known;
+    BOOST_TEST(known.record(key, {.leaving = true}, start).leaving);
+    BOOST_TEST(!known.record(key, {.leaving = true}, start + 1).leaving);
+    known.record(key, {}, start + 2);
+    BOOST_TEST(known.is_leaving(key, start + 60'000));
+    BOOST_TEST(known.leaving(start + 60'000).size() == 1U);
+    BOOST_TEST(!known.is_leaving(
+        key, start + 1 + endpoint_announcements::leaving_memory));
+}
+
 // Guards against announcements that outlive their incarnation.
 BOOST_AUTO_TEST_CASE(announcements_of_other_incarnations_are_forgotten)
 {
--- a/tests/unit/platform_format_test.cpp
+++ b/tests/unit/platform_format_test.cpp
@@ -232,6 +232,20 @@
         BOOST_TEST(!pause_in(status, {{"Retry-After", "2"}}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_leaves_is_noticed)
+{
+    const platform_format format;
+    const auto leaves = [&](int status, const header_list& headers)
+    {
+        return format.read_response(status, headers).announcement.leaving;
+    };
+    for (const int status : {200, 421, 503})
+        BOOST_TEST(leaves(status, {{"server-leaving", "1"}}));
+    for (const auto* const text : {"", "0", "yes", "2"})
+        BOOST_TEST(!leaves(200, {{"Server-Leaving", text}}));
+    BOOST_TEST(!leaves(200, {}));
+}
+
 // Guards against a request that reaches another node with the deadline or the
 // progress that it had at first.
 BOOST_AUTO_TEST_CASE(a_request_for_another_node_has_its_current_metadata)
