--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -35,9 +35,8 @@
 /// expected time to the first event.
 constexpr double expected_event_factor = 1.6;
 /// A started stream is continued at another endpoint after this time without
-/// an event, as sound endpoints may fall silent for a second, or after a
-/// multiple of the route's target gap if that is longer.
-constexpr msec min_stall_timeout = 1400;
+/// an event, or after a multiple of the route's target gap if that is longer.
+constexpr msec min_stall_timeout = 1000;
 constexpr msec stall_gaps = 3;
 
 /// An attempt's time limit ends after the request's deadline, so that a passed
@@ -249,7 +248,6 @@
                                placed_at_ - request_.received.received_at);
     at_fault_ = 0;
     connected_ = false;
-    head_received_ = false;
     const auto events_before = events_sent_;
     expected_first_token_ms_ = grant.expected_first_token_ms;
     connection_ = std::make_shared<endpoint_connection>(state_.io);
@@ -348,7 +346,6 @@
     if (metadata.not_run)
         co_return attempt_outcome::not_run;
     may_have_run_ = true;
-    head_received_ = true;
     ++runs_;
     const bool success =
         connection_->status() >= 200 && connection_->status() < 300;
@@ -418,10 +415,8 @@
 msec forwarding::read_timeout() const
 {
     const auto left = until_deadline();
-    // An attempt counts as a run from the head of its response on.
-    const auto runs = runs_ + (head_received_ ? 0 : 1);
     if (!request_.matched_route->retryable() ||
-        runs >= request_.matched_route->max_attempts)
+        runs_ + 1 >= request_.matched_route->max_attempts)
         return left;
     if (events_sent_ > 0)
         return std::min(
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -121,8 +121,6 @@
     /// Time limit of an operation that may last until the request's deadline.
     msec until_deadline() const;
     msec read_timeout() const;
-    /// Time limit of an event of which some bytes arrive.
-    msec event_timeout() const;
     std::string endpoint_request(const dispatch_grant& grant) const;
     bool is_stream(const header_list& headers) const;
 
@@ -160,8 +158,6 @@
     std::uint32_t handovers_ = 0;
     /// Whether the current attempt has connected to its endpoint.
     bool connected_ = false;
-    /// Whether the current attempt has received the head of a response.
-    bool head_received_ = false;
     bool may_have_run_ = false;
     /// An endpoint may have received the request, so that the next attempt
     /// counts against the retry budget.
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t max_buffered_response = std::size_t{8} << 20;
 /// A stream that sends bytes but completes no event fails after this multiple
 /// of the time allowed without any bytes.
-constexpr double partial_event_factor = 1.5;
+constexpr msec partial_event_factor = 2;
 
 /// Memory of a response that is buffered, counted with that of the requests.
 class buffered_bytes
@@ -118,19 +118,13 @@
     co_return co_await client_.write(std::move(out));
 }
 
-msec forwarding::event_timeout() const
-{
-    return static_cast<msec>(partial_event_factor *
-                             static_cast<double>(read_timeout()));
-}
-
 asio::awaitable<attempt_outcome> forwarding::relay_stream(header_list headers)
 {
     event_splitter splitter;
     std::uint64_t received = 0;
     // Bytes that complete no event extend the time for one, but not without
     // end.
-    auto event_due_at = now() + event_timeout();
+    auto event_due_at = now() + partial_event_factor * read_timeout();
     while (!connection_->body_complete())
     {
         std::string bytes;
@@ -158,7 +152,7 @@
             if (splitter.last_id())
                 last_event_ = splitter.last_id();
             ++events_sent_;
-            event_due_at = now() + event_timeout();
+            event_due_at = now() + partial_event_factor * read_timeout();
         }
         if (result != connection_result::done)
             co_return outcome_of(result);
