Streams and requests of an endpoint that is lost are resumed after a check

An attempt that another endpoint may continue is watched: after a second without progress a second connection is made to its endpoint; only if that fails the attempt ends as stalled. A sound endpoint that is silent accepts it, so that its streams aren't given up, as they were before. gateway_partition_test a_stream_goes_on_through_another_node fails without it and passes.

--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -47,13 +47,17 @@
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& ec)
         {
-            if (ec)
-                return;
-            self->expired_ = true;
-            self->close();
+            if (!ec)
+                self->expire();
         });
 }
 
+void endpoint_connection::expire()
+{
+    expired_ = true;
+    close();
+}
+
 void endpoint_connection::close()
 {
     boost::system::error_code ignored;
--- a/src/gateway/endpoint_connection.hpp
+++ b/src/gateway/endpoint_connection.hpp
@@ -59,6 +59,8 @@
 
     /// Cancels the pending operation and closes the connection.
     void cancel();
+    /// Ends the pending operation as if its time limit had passed.
+    void expire();
     /// Whether the endpoint may have received any of the request.
     bool sent() const { return sent_; }
 
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -87,6 +87,7 @@
 forwarding::~forwarding()
 {
     deadline_timer_.cancel();
+    stop_stall_watch();
     if (reservation_)
         reservation_->release();
 }
@@ -256,6 +257,7 @@
         outcome = co_await reserve_memory(grant);
     if (outcome == attempt_outcome::completed)
         outcome = co_await exchange(grant);
+    stop_stall_watch();
     connection_->cancel();
     connection_.reset();
     if (reservation_)
@@ -320,6 +322,7 @@
         co_return attempt_outcome::paused;
     auto text = endpoint_request(grant);
     has_arrived_ = true;
+    start_stall_watch(grant);
     endpoint_heard_at_ = now();
     const auto head = co_await connection_->exchange_head(
         std::move(text), request_.received.method == "HEAD", read_timeout());
@@ -338,6 +341,23 @@
     co_return co_await handle_head(metadata, std::move(headers));
 }
 
+void forwarding::start_stall_watch(const dispatch_grant& grant)
+{
+    const auto& matched_route = *request_.matched_route;
+    if (!matched_route.retryable() || runs_ + 1 >= matched_route.max_attempts)
+        return;
+    stall_watch_ = std::make_shared<stall_watch>(
+        state_.io, grant.primary.address,
+        [connection = connection_] { connection->expire(); });
+    stall_watch_->on_progress();
+}
+
+void forwarding::stop_stall_watch()
+{
+    if (stall_watch_)
+        std::exchange(stall_watch_, nullptr)->stop();
+}
+
 asio::awaitable<attempt_outcome>
 forwarding::handle_head(const response_metadata& metadata, header_list headers)
 {
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -5,6 +5,7 @@
 #include "gateway/dispatch_request.hpp"
 #include "gateway/endpoint_connection.hpp"
 #include "gateway/memory_reservation.hpp"
+#include "gateway/stall_watch.hpp"
 #include "gateway/traffic_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -86,6 +87,10 @@
     /// `target`: the endpoint or node of the attempt.
     void record_retry(std::string_view target, attempt_outcome outcome) const;
     boost::asio::awaitable<next_action> run_attempt(dispatch_grant grant);
+    /// Ends the attempt early if its endpoint is lost and another one may
+    /// continue.
+    void start_stall_watch(const dispatch_grant& grant);
+    void stop_stall_watch();
     /// Has another node serve the request.
     boost::asio::awaitable<next_action> run_handover(handover to);
     boost::asio::awaitable<attempt_outcome>
@@ -144,6 +149,8 @@
     boost::asio::steady_timer wake_;
     std::shared_ptr<endpoint_connection> connection_;
     std::shared_ptr<memory_reservation> reservation_;
+    /// Null if no other endpoint may continue the current attempt.
+    std::shared_ptr<stall_watch> stall_watch_;
     /// The helper that caused the last attempt's outcome; 0 if none did.
     endpoint_key at_fault_ = 0;
     end_reason end_ = end_reason::none;
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -142,6 +142,8 @@
                 splitter.first_id() != *last_event_ + 1)
                 co_return attempt_outcome::broken_response;
             ++received;
+            if (stall_watch_)
+                stall_watch_->on_progress();
             if (received == 1)
                 state_.dispatch.on_first_token(dispatch_id_);
             if (received == events_of_sound_request &&
