--- a/review/standins/kit.cpp
+++ b/review/standins/kit.cpp
@@ -17,6 +17,7 @@
 #include <filesystem>
 #include <iostream>
 #include <memory>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -125,11 +126,29 @@
     return out;
 }
 
+/// A port below those that the system gives to other sockets by itself.
 std::string free_address()
 {
-    std::string out;
-    ::close(listen_on_loopback(out));
-    return out;
+    constexpr int first_port = 12'000;
+    constexpr int ports = 18'000;
+    static std::mt19937 random{std::random_device{}()};
+    static std::set<int> given;
+    for (int tries = 0; tries < ports; ++tries)
+    {
+        const int port = first_port + static_cast<int>(random() % ports);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const bool is_free =
+            socket >= 0 &&
+            ::bind(socket, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+        ::close(socket);
+        if (is_free && given.insert(port).second)
+            return "127.0.0.1:" + std::to_string(port);
+    }
+    throw std::runtime_error("no free port");
 }
 
 /// Reads a head; what follows it stays in `buf`.
