Gateway: a refusal that an endpoint does not prove is not passed on as "not run"

Clients got 503 (also 429 and 408) for requests that may run once and that an endpoint had run: a 503 of an endpoint without Galenapulley-Not-Executed was relayed as it came, and tells the client that the request has not run and may be sent again.

Cause: forwarding::relay_buffered relays any status that read_response does not take for a proof; may_have_run_ was asked for errors of our own only.

The status now decides at the head: 408, 421, 429 and 503 without a proof are an outcome of their own. The rest of such a response is not waited for. Log field endpoint_status and the outcome unproven_refusal tell operators of it.

--- a/src/galenapulley/error_kind.cpp
+++ b/src/galenapulley/error_kind.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/cord.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <string>
 
@@ -72,6 +73,13 @@
     return error_responses.at(static_cast<std::size_t>(kind));
 }
 
+bool is_refusal_status(int http_status)
+{
+    constexpr std::array<int, 4> refusals{408, 421, 429, 503};
+    return std::find(refusals.begin(), refusals.end(), http_status) !=
+           refusals.end();
+}
+
 std::string_view name_of(error_kind kind)
 {
     return error_response_for(kind).name;
--- a/src/galenapulley/error_kind.hpp
+++ b/src/galenapulley/error_kind.hpp
@@ -71,6 +71,9 @@
 };
 
 const error_response& error_response_for(error_kind kind);
+/// Whether clients take the status as the statement that the request has not
+/// run and never will, and therefore repeat what isn't idempotent, too.
+bool is_refusal_status(int http_status);
 std::string_view name_of(error_kind kind);
 std::string_view name_of(execution ran);
 std::optional<error_kind> error_kind_from_name(std::string_view name);
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -97,6 +97,9 @@
     completed,
     /// The endpoint responded with an error of its own.
     endpoint_error,
+    /// The endpoint responded with a refusal, but doesn't state that it has not
+    /// run the request.
+    unproven_refusal,
     /// The endpoint refused and states that it has not run the request.
     not_run,
     /// Another endpoint now has the address.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -482,6 +482,7 @@
         record_crash(work, result);
         break;
     case attempt_outcome::endpoint_error:
+    case attempt_outcome::unproven_refusal:
     case attempt_outcome::timed_out:
     case attempt_outcome::client_gone:
         return;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -367,6 +367,7 @@
         co_return attempt_outcome::not_run;
     may_have_run_ = true;
     ++runs_;
+    endpoint_status_ = connection_->status();
     const bool success =
         connection_->status() >= 200 && connection_->status() < 300;
     // A response to another attempt, or a success without the endpoint's
@@ -378,7 +379,28 @@
         co_return attempt_outcome::broken_before_response;
     if (success && is_stream(headers))
         co_return co_await relay_stream(std::move(headers));
-    co_return co_await relay_buffered(std::move(headers));
+    const auto outcome = outcome_of_status(connection_->status());
+    if (outcome == attempt_outcome::completed || may_relay(outcome))
+        co_return co_await relay_buffered(std::move(headers), outcome);
+    co_return outcome;
+}
+
+attempt_outcome forwarding::outcome_of_status(int status)
+{
+    constexpr int first_server_error = 500;
+    if (is_refusal_status(status))
+        return attempt_outcome::unproven_refusal;
+    return status >= first_server_error ? attempt_outcome::endpoint_error
+                                        : attempt_outcome::completed;
+}
+
+bool forwarding::may_relay(attempt_outcome failure) const
+{
+    if (may_retry(failure))
+        return false;
+    // The client would repeat what may have run.
+    return failure != attempt_outcome::unproven_refusal ||
+           request_.matched_route->retryable();
 }
 
 bool forwarding::is_paused(const dispatch_grant& grant) const
@@ -470,6 +492,7 @@
         // The client is told "not run" only once no attempt is left.
         return matched_route.max_attempts > 1 && runs_left;
     case attempt_outcome::endpoint_error:
+    case attempt_outcome::unproven_refusal:
     case attempt_outcome::broken_before_response:
     case attempt_outcome::broken_response:
     case attempt_outcome::stalled:
@@ -486,7 +509,9 @@
 {
     if (outcome == attempt_outcome::completed)
         return next_action::finished;
-    if (outcome == attempt_outcome::endpoint_error && head_sent_)
+    const bool is_response = outcome == attempt_outcome::endpoint_error ||
+                             outcome == attempt_outcome::unproven_refusal;
+    if (is_response && head_sent_)
         return next_action::finished;
     return may_retry(outcome) ? next_action::retry : next_action::fail;
 }
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -114,7 +114,14 @@
     exchange(const dispatch_grant& grant);
     boost::asio::awaitable<attempt_outcome>
     handle_head(const response_metadata& metadata, header_list headers);
-    boost::asio::awaitable<attempt_outcome> relay_buffered(header_list headers);
+    /// What a status that isn't proven to mean "not run" says of the attempt.
+    static attempt_outcome outcome_of_status(int status);
+    /// Whether the client may get the endpoint's own response to an attempt
+    /// that failed.
+    bool may_relay(attempt_outcome failure) const;
+    /// `outcome`: that of the attempt if the response arrives whole.
+    boost::asio::awaitable<attempt_outcome>
+    relay_buffered(header_list headers, attempt_outcome outcome);
     boost::asio::awaitable<attempt_outcome> relay_stream(header_list headers);
     boost::asio::awaitable<bool> send_events(const header_list& headers,
                                              const std::string& events);
@@ -170,6 +177,9 @@
     /// counts against the retry budget.
     bool has_arrived_ = false;
     attempt_outcome last_outcome_ = attempt_outcome::completed;
+    /// Status of the last response of an endpoint that may have run the
+    /// request; 0 if there was none.
+    int endpoint_status_ = 0;
     bool head_sent_ = false;
     bool keep_alive_ = true;
     std::optional<std::uint64_t> last_event_;
--- a/src/gateway/forwarding_errors.cpp
+++ b/src/gateway/forwarding_errors.cpp
@@ -100,17 +100,19 @@
 {
     const auto spent = now() - request_.received.received_at;
     state_.metrics.observe(request_stage::whole, spent);
-    state_.log.write(event,
-                     {{"request", std::string_view(request_.metadata.attempt)},
-                      {"route", std::string_view(request_.matched_route->name)},
-                      {"kind", kind},
-                      {"reason", reason},
-                      {"ms", spent},
-                      {"calls", static_cast<std::int64_t>(attempts_)},
-                      {"last_outcome", name_of(last_outcome_)},
-                      {"events", static_cast<std::int64_t>(events_sent_)},
-                      {"longest_pause_ms", longest_gap_},
-                      {"first_event_ms", first_event_ms_}});
+    state_.log.write(
+        event,
+        {{"request", std::string_view(request_.metadata.attempt)},
+         {"route", std::string_view(request_.matched_route->name)},
+         {"kind", kind},
+         {"reason", reason},
+         {"ms", spent},
+         {"calls", static_cast<std::int64_t>(attempts_)},
+         {"last_outcome", name_of(last_outcome_)},
+         {"endpoint_status", static_cast<std::int64_t>(endpoint_status_)},
+         {"events", static_cast<std::int64_t>(events_sent_)},
+         {"longest_pause_ms", longest_gap_},
+         {"first_event_ms", first_event_ms_}});
 }
 
 } // namespace galenapulley
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -57,7 +57,8 @@
 
 } // namespace
 
-asio::awaitable<attempt_outcome> forwarding::relay_buffered(header_list headers)
+asio::awaitable<attempt_outcome>
+forwarding::relay_buffered(header_list headers, attempt_outcome outcome)
 {
     std::string body;
     buffered_bytes held(state_);
@@ -74,9 +75,6 @@
             co_return attempt_outcome::broken_before_response;
     }
     const int status = connection_->status();
-    const bool failed = status >= 500;
-    if (failed && may_retry(attempt_outcome::endpoint_error))
-        co_return attempt_outcome::endpoint_error;
     if (head_sent_)
         co_return attempt_outcome::broken_response;
     state_.metrics.count_response(status);
@@ -89,9 +87,9 @@
     const auto sent = co_await client_.write(std::move(text));
     if (!sent)
         co_return attempt_outcome::client_gone;
-    log_end(log_event::answered, failed ? "endpoint_error" : "whole", "");
-    co_return failed ? attempt_outcome::endpoint_error
-                     : attempt_outcome::completed;
+    const bool failed = outcome != attempt_outcome::completed;
+    log_end(log_event::answered, failed ? name_of(outcome) : "whole", "");
+    co_return outcome;
 }
 
 asio::awaitable<bool> forwarding::send_events(const header_list& headers,
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -210,8 +210,9 @@
     std::string out = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
     out += "Galenapulley-Attempt-Id: " +
            std::string(request["Galenapulley-Attempt-Id"]) + "\r\n";
-    out += "Galenapulley-Server-Seal: seal-" + id_ + "\r\n";
     const std::lock_guard lock(mutex_);
+    if (behaviour_.is_signed)
+        out += "Galenapulley-Server-Seal: seal-" + id_ + "\r\n";
     if (behaviour_.leaving)
         out += "Server-Leaving: 1\r\n";
     if (!behaviour_.rate_limit.empty())
@@ -264,7 +265,7 @@
     if (behaviour.responds_at_deadline)
         pause_for(std::stoll(std::string(request["Galenapulley-Deadline-Ms"])));
     if (behaviour.endless != endless_part::none && behaviour.events == 0)
-        return send_without_end(socket, request, behaviour.endless);
+        return send_without_end(socket, request, behaviour);
     if (behaviour.events > 0)
         return stream(socket, request, behaviour);
     if (behaviour.unframed)
@@ -316,19 +317,20 @@
             pause_for(behaviour.event_pause);
     }
     if (behaviour.endless != endless_part::none)
-        return send_without_end(socket, request, behaviour.endless);
+        return send_without_end(socket, request, behaviour);
     return !behaviour.unframed && send_event(socket, "0\r\n\r\n");
 }
 
 bool endpoint_standin::send_without_end(wire_socket& socket,
                                         const wire_request& request,
-                                        endless_part part)
+                                        const endpoint_behaviour& behaviour)
 {
     const std::string filler(8192, 'x');
     const std::string length = "2000";
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const auto status = behaviour.status;
     const std::string stream_head =
-        head(request, 200) + "Content-Type: text/event-stream\r\n" + chunked;
+        head(request, status) + "Content-Type: text/event-stream\r\n" + chunked;
     const std::string comment = "2\r\n:\n\r\n";
     struct endless_bytes
     {
@@ -337,13 +339,13 @@
         msec pause = 0;
     };
     const std::map<endless_part, endless_bytes> table{
-        {endless_part::head, {head(request, 200), "X-More: x\r\n"}},
-        {endless_part::body, {head(request, 200) + "\r\n", filler}},
+        {endless_part::head, {head(request, status), "X-More: x\r\n"}},
+        {endless_part::body, {head(request, status) + "\r\n", filler}},
         {endless_part::chunk_extension,
-         {head(request, 200) + chunked + length + ";", filler}},
+         {head(request, status) + chunked + length + ";", filler}},
         {endless_part::event, {stream_head, length + "\r\n" + filler + "\r\n"}},
         {endless_part::comments, {"", comment, 200}}};
-    const auto& it = table.at(part);
+    const auto& it = table.at(behaviour.endless);
     bool open = write_bytes(socket, it.first);
     while (open && write_bytes(socket, it.repeated))
         if (it.pause > 0)
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -45,6 +45,8 @@
     /// Responds when the time that it was given is over.
     bool responds_at_deadline = false;
     int status = 200;
+    /// Responses have the signature.
+    bool is_signed = true;
     /// Number of events of a stream; 0 for a response that is no stream.
     std::uint64_t events = 0;
     /// Id of the event after whose first half the connection is closed.
@@ -147,7 +149,7 @@
     bool send_event(wire_socket& socket, const std::string& bytes);
     /// Sends bytes until the peer closes the connection, and counts it.
     bool send_without_end(wire_socket& socket, const wire_request& request,
-                          endless_part part);
+                          const endpoint_behaviour& behaviour);
     std::string head(const wire_request& request, int status) const;
     /// Ends the endpoint in the middle of the response and starts it again.
     bool crash(wire_socket& socket, const wire_request& request);
--- a/tests/unit/error_kind_test.cpp
+++ b/tests/unit/error_kind_test.cpp
@@ -20,6 +20,22 @@
     }
 }
 
+// Guards against an error of our own that tells the client "not run" by its
+// status although the request may have run.
+BOOST_AUTO_TEST_CASE(refusal_statuses_are_used_for_what_has_not_run)
+{
+    int refusals = 0;
+    for (int n = 0; n < error_kind_count; ++n)
+    {
+        const auto& it = error_response_for(static_cast<error_kind>(n));
+        if (!is_refusal_status(it.http_status))
+            continue;
+        ++refusals;
+        BOOST_TEST((it.ran == execution::not_run));
+    }
+    BOOST_TEST(refusals > 0);
+}
+
 // Guards against an error body that loses the execution state.
 BOOST_AUTO_TEST_CASE(body_states_whether_the_request_ran)
 {
