--- a/src/node/plain_session.cpp
+++ b/src/node/plain_session.cpp
@@ -247,6 +247,15 @@
         return;
     }
     release_permit(permit_outcome::completed);
+    if (!route_->idempotent && is_refusal_status(result.status))
+    {
+        // Plain services have no way to state that they haven't run a request.
+        end_as_unknown("the back end refused with status " +
+                       std::to_string(result.status) +
+                       ", but may have run the request; it will not be "
+                       "retried");
+        return;
+    }
     const auto type = result.headers.find("content-type");
     const std::string content_type = type == result.headers.end()
                                          ? "application/octet-stream"
@@ -297,11 +306,8 @@
     const bool timed_out = result.error == transfer_error::timed_out;
     if (!route_->idempotent)
     {
-        // The row stays `started`, so that no retry by the client is executed.
-        context_.ledger.abandon(key_, attempt_id_);
-        refuse(make_error(error_kind::outcome_unknown,
-                          "the back end did not respond; the request may have "
-                          "run and will not be retried"));
+        end_as_unknown("the back end did not respond; the request may have run "
+                       "and will not be retried");
         return;
     }
     context_.counts.count(retry_reason::back_end_failed);
@@ -316,6 +322,13 @@
                       "the back end did not respond"));
 }
 
+void plain_session::end_as_unknown(const std::string& message)
+{
+    // The row stays `started`, so that no retry by the client is executed.
+    context_.ledger.abandon(key_, attempt_id_);
+    refuse(make_error(error_kind::outcome_unknown, message));
+}
+
 void plain_session::refuse_unsent(const absl::Status& status)
 {
     const auto ran =
--- a/src/node/plain_session.hpp
+++ b/src/node/plain_session.hpp
@@ -49,6 +49,8 @@
     void record(http_response out);
     void on_not_sent();
     void on_outcome_unknown(const http_result& result);
+    /// Ends a non-idempotent request that a back end may have run.
+    void end_as_unknown(const std::string& message);
     /// Refuses a request that has no attempt in progress. A non-idempotent one
     /// has not been sent to any back end, and is recorded as not run.
     void refuse_unsent(const absl::Status& status);
--- a/tests/fault/at_most_once_test.cpp
+++ b/tests/fault/at_most_once_test.cpp
@@ -231,6 +231,27 @@
     }
 }
 
+// Guards against "not run" for a call that a plain server has run before it
+// failed: its caller would send it again under a new key.
+BOOST_AUTO_TEST_CASE(plain_server_refuses_after_the_run)
+{
+    for (const int status : {429, 503})
+    {
+        const auto key = "refused-" + std::to_string(status);
+        control_plains({{"status", status}});
+        const auto first = fleet.log_adjustment(0, key);
+        BOOST_TEST(first.status == 502);
+        BOOST_TEST(error_field(first, "kind") == "outcome_unknown");
+        control_plains({{"status", 200}});
+        for (std::size_t n = 0; n < fleet.nodes(); ++n)
+        {
+            const auto again = fleet.log_adjustment(n, key);
+            BOOST_TEST(error_field(again, "ran") == "may_have_run");
+        }
+        BOOST_TEST(fleet.runs_of(key) == 1U);
+    }
+}
+
 // Guards against a paused node that, once resumed, sends or retries a call that
 // the other nodes already treat as ended.
 BOOST_AUTO_TEST_CASE(node_frozen_across_the_call)
--- a/tests/standins/plain_api.cpp
+++ b/tests/standins/plain_api.cpp
@@ -46,6 +46,7 @@
     json body = {{"path", request.path}, {"key", key}};
     msec delay = 0;
     bool lost = false;
+    int status = 200;
     {
         const std::lock_guard lock(mutex_);
         last_start_ms_ = wall_time();
@@ -55,6 +56,7 @@
         {
             body["run"] = record_run(request.path, key);
             delay = options_.delay_ms;
+            status = status_;
             if (responses_to_lose_ > 0)
             {
                 --responses_to_lose_;
@@ -68,12 +70,12 @@
             return;
     }
     tasks_.run_after(delay,
-                     [exchange, body, lost]
+                     [exchange, body, lost, status]
                      {
                          if (lost)
                              exchange->abort();
                          else
-                             respond_json(exchange, 200, body);
+                             respond_json(exchange, status, body);
                      });
 }
 
@@ -83,6 +85,7 @@
     responses_to_lose_ = body.value("lose_answers", responses_to_lose_);
     hang_ = body.value("hang", hang_);
     crash_after_run_ = body.value("crash_after_run", crash_after_run_);
+    status_ = body.value("status", status_);
     options_.delay_ms = body.value("delay_ms", options_.delay_ms);
 }
 
--- a/tests/standins/plain_api.hpp
+++ b/tests/standins/plain_api.hpp
@@ -45,6 +45,8 @@
     int lost_responses_ = 0;
     bool hang_ = false;
     bool crash_after_run_ = false;
+    /// Status of responses to actions.
+    int status_ = 200;
     msec last_start_ms_ = 0;
     delayed_tasks tasks_;
 };
