Gateway: a refusal proves nothing about another attempt

A 421, or a 503 that states "not run", was believed before the attempt id that it names was compared with that of the request: an earlier refusal that a faulty endpoint sends once more would tell the client "not run" for a request that the endpoint runs, or send it to a second endpoint. The id is compared first now; such a response is none.

gateway_refusal_test a_refusal_of_another_attempt_proves_nothing failed on (429 for a request that the endpoint had taken) and passes.

Also a test for handovers: an endpoint refuses a request after its run, without signature, and the peer passed that on; the node that had handed the request over took it for a refusal of the peer and sent it again.

--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -361,21 +361,18 @@
 asio::awaitable<attempt_outcome>
 forwarding::handle_head(const response_metadata& metadata, header_list headers)
 {
-    if (metadata.replaced)
+    const bool own = is_own_response(metadata);
+    // A refusal of another attempt proves nothing about this one.
+    if (own && metadata.replaced)
         co_return attempt_outcome::replaced;
-    if (metadata.not_run)
+    if (own && metadata.not_run)
         co_return attempt_outcome::not_run;
     may_have_run_ = true;
     ++runs_;
     endpoint_status_ = connection_->status();
     const bool success =
         connection_->status() >= 200 && connection_->status() < 300;
-    // A response to another attempt, or a success without the endpoint's
-    // signature, is not the endpoint's response to this attempt.
-    if (!metadata.attempt.empty() &&
-        metadata.attempt != request_.metadata.attempt)
-        co_return attempt_outcome::broken_before_response;
-    if (success && !metadata.is_signed)
+    if (!own || (success && !metadata.is_signed))
         co_return attempt_outcome::broken_before_response;
     if (success && is_stream(headers))
         co_return co_await relay_stream(std::move(headers));
@@ -413,13 +410,16 @@
                        { return announcements.is_paused(it.key, at); });
 }
 
+bool forwarding::is_own_response(const response_metadata& metadata) const
+{
+    return metadata.attempt.empty() ||
+           metadata.attempt == request_.metadata.attempt;
+}
+
 void forwarding::record_announcement(const dispatch_grant& grant,
                                      const response_metadata& metadata) const
 {
-    const bool is_own =
-        !metadata.replaced && (metadata.attempt.empty() ||
-                               metadata.attempt == request_.metadata.attempt);
-    if (!is_own)
+    if (metadata.replaced || !is_own_response(metadata))
         return;
     const auto& announced = metadata.announcement;
     if (announced.retry_after)
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -108,6 +108,8 @@
     /// Whether an endpoint of the grant wants no requests from this node. It
     /// may have asked for that since the placement.
     bool is_paused(const dispatch_grant& grant) const;
+    /// Whether the response names no other attempt than this one.
+    bool is_own_response(const response_metadata& metadata) const;
     void record_announcement(const dispatch_grant& grant,
                              const response_metadata& metadata) const;
     boost::asio::awaitable<attempt_outcome>
--- a/tests/gateway/gateway_partition_test.cpp
+++ b/tests/gateway/gateway_partition_test.cpp
@@ -187,6 +187,21 @@
     BOOST_TEST(served_at_once("/s/c", "POST") == requests);
 }
 
+// Guards against a refusal of an endpoint that is taken for one of the node
+// that has passed it on: the request would be sent on, or answered as not run.
+BOOST_FIXTURE_TEST_CASE(an_endpoints_refusal_is_not_the_other_nodes,
+                        two_domains)
+{
+    cut.refuse();
+    pass_contact_time();
+    sound.set_all({.status = 503, .is_signed = false});
+    const auto response = cut.call("/n/e", "t-refused", "POST");
+    BOOST_TEST(response.status == 502);
+    BOOST_TEST(eventually([&] { return handovers_of("t-refused") > 0; }));
+    BOOST_TEST(handovers_of("t-refused") == 1);
+    BOOST_TEST(runs_of("/n/e") == 1);
+}
+
 // Guards against a detour that outlasts the partition.
 BOOST_FIXTURE_TEST_CASE(a_node_uses_its_endpoints_again_after_a_partition,
                         two_domains)
--- a/tests/gateway/gateway_refusal_test.cpp
+++ b/tests/gateway/gateway_refusal_test.cpp
@@ -56,6 +56,20 @@
     BOOST_TEST(runs() == 1U);
 }
 
+// Guards against an earlier refusal that a faulty endpoint sends once more and
+// that is taken for the response to a request that it runs.
+BOOST_FIXTURE_TEST_CASE(a_refusal_of_another_attempt_proves_nothing,
+                        one_gateway)
+{
+    set_both({.refuses_requests = true, .refused_attempt = "t0"});
+    BOOST_TEST(gateway->call(sample_request("POST", "/n/x", "t1")).status ==
+               502);
+    BOOST_TEST(arrivals() == 1U);
+    set_both({.refuses_requests = true, .refused_attempt = "t2"});
+    const auto refused = gateway->call(sample_request("POST", "/n/y", "t2"));
+    BOOST_TEST((refused.status == 429 || refused.status == 503));
+}
+
 // What may be repeated is retried elsewhere, and gets the endpoint's own
 // response only if that fails, too.
 BOOST_DATA_TEST_CASE_F(one_gateway, a_refused_idempotent_request_is_retried,
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -21,6 +21,8 @@
 std::string refusal(const endpoint_behaviour& behaviour)
 {
     std::string out = "HTTP/1.1 503 X\r\nGalenapulley-Not-Executed: 1\r\n";
+    if (!behaviour.refused_attempt.empty())
+        out += "Galenapulley-Attempt-Id: " + behaviour.refused_attempt + "\r\n";
     for (const auto& it : behaviour.retry_after)
         out += "Retry-After: " + it + "\r\n";
     return out + "Content-Length: 0\r\n\r\n";
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -36,6 +36,8 @@
 {
     /// Responds 503 without running the request.
     bool refuses_requests = false;
+    /// Attempt id of these refusals in place of that of the request.
+    std::string refused_attempt{};
     /// Responds 421, like another incarnation at this address.
     bool replaced = false;
     /// Closes the connection after reading the request.
