Gateway: an error in a resumed stream does not leave it open

A stream had begun and broke off, the next endpoint answered with an error, and a third attempt was left: the attempt ended as "response relayed" because the head of the stream had been sent, so that the request was over, the client's stream had no end and the connection stayed open until its idle timeout.

Cause: action_after took "an error, and a head was sent" for "the error was relayed". The relay says so itself now (response_sent_), and a response that is no stream is not read within a stream that has begun; it isn't counted as a crash of the endpoint either. Routes with two attempts weren't affected.

gateway_retry_test an_error_in_a_broken_stream_does_not_end_the_retries: on two of three attempts and 5 s to the end of the connection, now three and at once.

--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -377,6 +377,11 @@
     if (success && is_stream(headers))
         co_return co_await relay_stream(std::move(headers));
     const auto outcome = outcome_of_status(connection_->status());
+    // Nothing but events may follow in a stream that has begun.
+    if (head_sent_)
+        co_return outcome == attempt_outcome::completed
+            ? attempt_outcome::broken_response
+            : outcome;
     if (outcome == attempt_outcome::completed || may_relay(outcome))
         co_return co_await relay_buffered(std::move(headers), outcome);
     co_return outcome;
@@ -507,11 +512,7 @@
 
 forwarding::next_action forwarding::action_after(attempt_outcome outcome)
 {
-    if (outcome == attempt_outcome::completed)
-        return next_action::finished;
-    const bool is_response = outcome == attempt_outcome::endpoint_error ||
-                             outcome == attempt_outcome::unproven_refusal;
-    if (is_response && head_sent_)
+    if (outcome == attempt_outcome::completed || response_sent_)
         return next_action::finished;
     return may_retry(outcome) ? next_action::retry : next_action::fail;
 }
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -183,6 +183,8 @@
     /// request; 0 if there was none.
     int endpoint_status_ = 0;
     bool head_sent_ = false;
+    /// The client has a whole response that is no stream.
+    bool response_sent_ = false;
     bool keep_alive_ = true;
     std::optional<std::uint64_t> last_event_;
     std::uint64_t events_sent_ = 0;
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -75,8 +75,6 @@
             co_return attempt_outcome::broken_before_response;
     }
     const int status = connection_->status();
-    if (head_sent_)
-        co_return attempt_outcome::broken_response;
     state_.metrics.count_response(status);
     state_.metrics.observe(request_stage::first_event, now() - placed_at_);
     head_sent_ = true;
@@ -87,6 +85,7 @@
     const auto sent = co_await client_.write(std::move(text));
     if (!sent)
         co_return attempt_outcome::client_gone;
+    response_sent_ = true;
     const bool failed = outcome != attempt_outcome::completed;
     log_end(log_event::answered, failed ? name_of(outcome) : "whole", "");
     co_return outcome;
--- a/tests/gateway/gateway_retry_test.cpp
+++ b/tests/gateway/gateway_retry_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/one_gateway.hpp"
 
+#include <nlohmann/json.hpp>
+
 using namespace galenapulley;
 using namespace galenapulley::testing;
 
@@ -171,6 +173,27 @@
     BOOST_TEST(response.body == "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n");
 }
 
+// Guards against a stream that is left open after the error of an endpoint that
+// was to go on with it, although attempts are left.
+BOOST_AUTO_TEST_CASE(an_error_in_a_broken_stream_does_not_end_the_retries)
+{
+    auto configuration = nlohmann::json::parse(sample_configuration(1));
+    configuration["Routes"][0]["MaxAttempts"] = 3;
+    one_gateway fleet(configuration.dump());
+    const endpoint_standin third(fleet.store, "i-third", "svc", "west",
+                                 {.status = 500});
+    fleet.west.set({.status = 500});
+    fleet.east.set({.events = 5, .breaks_at = 3});
+    pause_for(500);
+    const boot_time_clock time;
+    const auto begin = time.now();
+    const auto response =
+        fleet.gateway->call(sample_request("POST", "/s/x", "t1"));
+    BOOST_TEST(fleet.runs() + third.runs() == 3U);
+    BOOST_TEST(!response.complete);
+    BOOST_TEST(time.now() - begin < 1000);
+}
+
 // Guards against a response whose head breaks off and that reaches the client
 // as a success with a short body.
 BOOST_FIXTURE_TEST_CASE(a_response_cut_in_its_head_is_no_success, one_gateway)
