Gateway: bytes that are no response are no crash of the endpoint

Cause: any end of an attempt without a usable response counted as a crash that the request may have caused, and three crashes quarantine it.

A crash ends the connection. Bytes that the parser rejects, a response to another attempt or without signature, and more than is kept of a response come from an endpoint that still sends: outcomes of their own (invalid_answer, oversized_answer), retried like a broken response and avoided like a failing endpoint, but no crash.

--- a/src/gateway/dispatch_request.cpp
+++ b/src/gateway/dispatch_request.cpp
@@ -13,7 +13,8 @@
         "replaced",         "unreachable",
         "memory_refused",   "paused",
         "handover_refused", "broken_before_answer",
-        "broken_answer",    "timed_out",
+        "broken_answer",    "invalid_answer",
+        "oversized_answer", "timed_out",
         "stalled",          "client_gone"};
     return names.at(static_cast<std::size_t>(outcome));
 }
--- a/src/gateway/dispatch_request.hpp
+++ b/src/gateway/dispatch_request.hpp
@@ -114,11 +114,14 @@
     /// Another node refused the request that was handed over to it; no endpoint
     /// has received it.
     handover_refused,
-    /// The connection ended without a usable response after the request was
-    /// sent.
+    /// The connection ended without a response after the request was sent.
     broken_before_response,
     /// The response ended early.
     broken_response,
+    /// What the endpoint sent is no response to the request.
+    invalid_response,
+    /// The response is larger than what may be kept of it.
+    oversized_response,
     /// The client's deadline or the route's timeout has passed, or the process
     /// ends.
     timed_out,
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -55,7 +55,9 @@
 {
     return outcome == attempt_outcome::unreachable ||
            outcome == attempt_outcome::broken_before_response ||
-           outcome == attempt_outcome::broken_response;
+           outcome == attempt_outcome::broken_response ||
+           outcome == attempt_outcome::invalid_response ||
+           outcome == attempt_outcome::oversized_response;
 }
 
 /// Ids of the helpers, without the primary endpoint.
@@ -460,6 +462,9 @@
         break;
     case attempt_outcome::unreachable:
     case attempt_outcome::stalled:
+    // An endpoint that still sends hasn't crashed on the request.
+    case attempt_outcome::invalid_response:
+    case attempt_outcome::oversized_response:
         registry_.on_failure(failed, now);
         break;
     case attempt_outcome::not_run:
--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -28,6 +28,15 @@
 constexpr std::uint32_t max_head_bytes = 32 * 1024;
 constexpr std::size_t read_bytes = std::size_t{8} * 1024;
 
+/// Whether the parser has rejected the bytes, and not the connection ended.
+bool is_invalid_response(const boost::system::error_code& ec)
+{
+    const boost::system::error_code parser_error = http::error::bad_version;
+    return ec.category() == parser_error.category() &&
+           ec != http::error::end_of_stream &&
+           ec != http::error::partial_message;
+}
+
 } // namespace
 
 endpoint_connection::endpoint_connection(asio::io_context& io)
@@ -78,7 +87,10 @@
         return connection_result::cancelled;
     if (expired_)
         return connection_result::timed_out;
-    return ec ? connection_result::broken : connection_result::done;
+    if (!ec)
+        return connection_result::done;
+    return is_invalid_response(ec) ? connection_result::invalid
+                                   : connection_result::broken;
 }
 
 asio::awaitable<connection_result>
@@ -128,7 +140,7 @@
     const auto result = result_of(ec);
     // The request doesn't ask for an interim (1xx) response.
     if (result == connection_result::done && parser_->get().result_int() < 200)
-        co_return connection_result::broken;
+        co_return connection_result::invalid;
     co_return result;
 }
 
--- a/src/gateway/endpoint_connection.hpp
+++ b/src/gateway/endpoint_connection.hpp
@@ -23,8 +23,10 @@
     done,
     /// No connection could be made.
     unreachable,
-    /// The connection was lost or the response is invalid.
+    /// The connection was lost.
     broken,
+    /// The bytes received are no response.
+    invalid,
     /// The endpoint sent nothing within the time limit.
     timed_out,
     cancelled
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -373,14 +373,14 @@
     const bool success =
         connection_->status() >= 200 && connection_->status() < 300;
     if (!own || (success && !metadata.is_signed))
-        co_return attempt_outcome::broken_before_response;
+        co_return attempt_outcome::invalid_response;
     if (success && is_stream(headers))
         co_return co_await relay_stream(std::move(headers));
     const auto outcome = outcome_of_status(connection_->status());
     // Nothing but events may follow in a stream that has begun.
     if (head_sent_)
         co_return outcome == attempt_outcome::completed
-            ? attempt_outcome::broken_response
+            ? attempt_outcome::invalid_response
             : outcome;
     if (outcome == attempt_outcome::completed || may_relay(outcome))
         co_return co_await relay_buffered(std::move(headers), outcome);
@@ -450,6 +450,8 @@
         return attempt_outcome::timed_out;
     if (result == connection_result::timed_out)
         return attempt_outcome::stalled;
+    if (result == connection_result::invalid)
+        return attempt_outcome::invalid_response;
     return head_sent_ ? attempt_outcome::broken_response
                       : attempt_outcome::broken_before_response;
 }
@@ -500,6 +502,8 @@
     case attempt_outcome::unproven_refusal:
     case attempt_outcome::broken_before_response:
     case attempt_outcome::broken_response:
+    case attempt_outcome::invalid_response:
+    case attempt_outcome::oversized_response:
     case attempt_outcome::stalled:
         return matched_route.retryable() && runs_left;
     case attempt_outcome::completed:
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -72,7 +72,7 @@
         if (result != connection_result::done)
             co_return outcome_of(result);
         if (body.size() > max_buffered_response || !held.grow_to(body.size()))
-            co_return attempt_outcome::broken_before_response;
+            co_return attempt_outcome::oversized_response;
     }
     const int status = connection_->status();
     state_.metrics.count_response(status);
@@ -131,13 +131,13 @@
             endpoint_heard_at_ = now();
         const auto events = splitter.feed(bytes);
         if (splitter.is_oversized())
-            co_return attempt_outcome::broken_response;
+            co_return attempt_outcome::oversized_response;
         if (!events.empty())
         {
             // A resumed stream must continue with the next event id.
             if (last_event_ && received == 0 &&
                 splitter.first_id() != *last_event_ + 1)
-                co_return attempt_outcome::broken_response;
+                co_return attempt_outcome::invalid_response;
             ++received;
             if (stall_watch_)
                 stall_watch_->on_progress();
--- a/tests/gateway/gateway_endless_bytes_test.cpp
+++ b/tests/gateway/gateway_endless_bytes_test.cpp
@@ -18,8 +18,14 @@
 /// Time in which an attempt at such an endpoint has to end.
 constexpr msec attempt_limit = 2500;
 
-const std::vector<endless_part> floods{endless_part::head, endless_part::body,
-                                       endless_part::chunk_extension};
+const std::vector<endless_part> floods{
+    endless_part::head,         endless_part::header_line,
+    endless_part::not_http,     endless_part::interim,
+    endless_part::body,         endless_part::long_body,
+    endless_part::chunked_body, endless_part::chunk_extension,
+    endless_part::trailer};
+/// Enough floods for a quarantine if they were crashes.
+constexpr int many_floods = 4;
 
 } // namespace
 
@@ -58,6 +64,34 @@
     BOOST_TEST(gateway->process().peak_memory() < max_memory);
 }
 
+// Guards against bytes without end that are taken for crashes by the request:
+// it was refused for minutes after the last of them, whoever sent it.
+BOOST_DATA_TEST_CASE_F(one_gateway, floods_do_not_quarantine_a_request,
+                       boost::unit_test::data::make(floods), part)
+{
+    set_both({.endless = part});
+    for (int n = 0; n < many_floods; ++n)
+        gateway->call(sample_request("GET", "/i/x", "t" + std::to_string(n)));
+    set_both({});
+    BOOST_TEST(eventually([&] { return status_of(*gateway, "/i/x") == 200; }));
+    BOOST_TEST(gateway->log().find("\"strike\"") == std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endless_event_does_not_quarantine_a_request,
+                        one_gateway)
+{
+    set_both({.endless = endless_part::event});
+    const auto call = [&](int n)
+    {
+        return gateway->call(
+            sample_request("POST", "/s/x", "t" + std::to_string(n), "prompt"));
+    };
+    for (int n = 0; n < many_floods; ++n)
+        BOOST_TEST(call(n).status != 200);
+    set_both({.events = 3});
+    BOOST_TEST(eventually([&] { return call(many_floods).status == 200; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_endless_event_is_continued_elsewhere, one_gateway)
 {
     east.set({.endless = endless_part::event});
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -21,10 +21,21 @@
     none,
     /// Header lines.
     head,
-    /// A body that is no stream.
+    /// One header line.
+    header_line,
+    /// No HTTP at all.
+    not_http,
+    /// Interim responses.
+    interim,
+    /// A body without a length that is no stream.
     body,
+    /// A body of a length that doesn't end in any time.
+    long_body,
+    chunked_body,
     /// Chunk extensions.
     chunk_extension,
+    /// Trailer fields.
+    trailer,
     /// A stream's event that has no end.
     event,
     /// Comments of a stream, a few bytes now and then.
