Gateway: responses share the memory that is kept for bodies

Cause: the bound of a quarter of the memory counted the size of strings that double their capacity and copy themselves to grow, and were copied once more to be sent; incomplete events (256 KB each) and 64 KB input buffers weren't counted at all. And the bound was first come, first served: whoever grew last failed, also the small response of a sound endpoint.

Bodies are kept in blocks now (byte_chain), which neither grow nor are copied. memory_budget divides the memory: a large body may grow to as much as it leaves free (dynamic threshold), a reserve is for bodies up to 16 KB. Incomplete events draw on it, the input buffer of an endpoint is halved, and its socket keeps 64 KB at most, as unread bytes count too. body_bytes and open_connections, which nothing set, are set when the metrics are read.

--- a/src/galenapulley/event_splitter.hpp
+++ b/src/galenapulley/event_splitter.hpp
@@ -23,6 +23,7 @@
     const std::optional<std::uint64_t>& first_id() const { return first_id_; }
     /// Whether an incomplete event is buffered.
     bool has_partial() const { return !buffer_.empty(); }
+    std::size_t partial_bytes() const { return buffer_.size(); }
     /// Whether the incomplete event is too long to be one, as bytes without
     /// end are.
     bool is_oversized() const { return buffer_.size() > max_event_bytes; }
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -18,6 +18,7 @@
 #include <array>
 #include <chrono>
 #include <utility>
+#include <vector>
 
 namespace galenapulley
 {
@@ -361,7 +362,8 @@
             error_response_for(error_kind::node_leaving).retry_after, false);
         co_return false;
     }
-    if (state_.body_bytes + request.body.size() > state_.body_bytes_limit)
+    memory_share held(state_.body_memory);
+    if (!held.resize(request.body.size()))
     {
         co_await refuse(
             error_kind::overloaded, "memory limit for request bodies reached",
@@ -378,8 +380,6 @@
                                   error_response_for(kind).retry_after, keep);
     }
     start_reading();
-    const auto body_bytes = admitted->received.body.size();
-    state_.body_bytes += body_bytes;
     bool keep_open = false;
     {
         forwarding work(state_, *this, *std::move(admitted));
@@ -387,7 +387,6 @@
         keep_open = co_await work.run();
         forwarded_ = nullptr;
     }
-    state_.body_bytes -= body_bytes;
     co_return keep_open;
 }
 
@@ -403,6 +402,23 @@
     co_return !disconnected_;
 }
 
+asio::awaitable<bool> client_connection::write(std::string head,
+                                               byte_chain body)
+{
+    if (disconnected_)
+        co_return false;
+    std::vector<asio::const_buffer> parts;
+    parts.emplace_back(asio::buffer(head));
+    for (const auto& it : body.blocks())
+        parts.emplace_back(asio::buffer(it));
+    boost::system::error_code ec;
+    co_await asio::async_write(socket_, parts,
+                               redirect_error(use_awaitable, ec));
+    if (ec)
+        disconnected_ = true;
+    co_return !disconnected_;
+}
+
 asio::awaitable<bool> client_connection::send_text(int status,
                                                    std::string_view type,
                                                    std::string body, bool keep)
@@ -457,6 +473,10 @@
         co_return co_await send_text(200, "application/json", std::move(status),
                                      request.keep_alive);
     }
+    state_.metrics.set(gauge::body_bytes,
+                       static_cast<std::int64_t>(state_.body_memory.used()));
+    state_.metrics.set(gauge::open_connections,
+                       static_cast<std::int64_t>(state_.open_connections));
     auto body = state_.count.expose() + state_.metrics.expose();
     co_return co_await send_text(200, "text/plain; version=0.0.4",
                                  std::move(body), request.keep_alive);
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "galenapulley/byte_chain.hpp"
 #include "galenapulley/error_kind.hpp"
 #include "gateway/client_request.hpp"
 #include "gateway/traffic_state.hpp"
@@ -54,6 +55,8 @@
     bool client_gone() const { return disconnected_; }
     /// Sends bytes of the response; false if the client has disconnected.
     boost::asio::awaitable<bool> write(std::string bytes);
+    /// Sends a whole response.
+    boost::asio::awaitable<bool> write(std::string head, byte_chain body);
     /// Sends an error response; returns whether the connection can be kept.
     boost::asio::awaitable<bool> refuse(error_kind kind, std::string message,
                                         msec retry_after, bool keep);
--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -103,6 +103,7 @@
     start_timer(limit);
     boost::system::error_code ec;
     socket_.open(asio::ip::tcp::v4(), ec);
+    limit_received_bytes(socket_);
     if (!ec)
         co_await socket_.async_connect(*peer,
                                        redirect_error(use_awaitable, ec));
--- a/src/gateway/endpoint_connection.hpp
+++ b/src/gateway/endpoint_connection.hpp
@@ -69,7 +69,7 @@
 private:
     /// Limit of what is buffered of a response: the head, or the extension of
     /// a chunk.
-    static constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
+    static constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024;
 
     using parser =
         boost::beast::http::response_parser<boost::beast::http::buffer_body>;
--- a/src/gateway/forwarding_relay.cpp
+++ b/src/gateway/forwarding_relay.cpp
@@ -1,3 +1,5 @@
+#include "galenapulley/byte_chain.hpp"
+#include "galenapulley/memory_budget.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/forwarding.hpp"
 #include "gateway/http_text.hpp"
@@ -21,29 +23,6 @@
 /// of the time allowed without any bytes.
 constexpr msec partial_event_factor = 2;
 
-/// Memory of a response that is buffered, counted with that of the requests.
-class buffered_bytes
-{
-public:
-    explicit buffered_bytes(traffic_state& state) : state_(state) {}
-    ~buffered_bytes() { state_.body_bytes -= held_; }
-
-    buffered_bytes(const buffered_bytes&) = delete;
-    buffered_bytes& operator=(const buffered_bytes&) = delete;
-
-    /// Returns whether the memory limit allows it.
-    bool grow_to(std::size_t bytes)
-    {
-        state_.body_bytes += bytes - held_;
-        held_ = bytes;
-        return state_.body_bytes <= state_.body_bytes_limit;
-    }
-
-private:
-    traffic_state& state_;
-    std::size_t held_ = 0;
-};
-
 /// The endpoint's headers, without those that apply to its connection only.
 header_list client_headers(const header_list& headers)
 {
@@ -60,29 +39,30 @@
 asio::awaitable<attempt_outcome>
 forwarding::relay_buffered(header_list headers, attempt_outcome outcome)
 {
-    std::string body;
-    buffered_bytes held(state_);
+    byte_chain body;
+    memory_share held(state_.body_memory);
     const bool skip_body = request_.received.method == "HEAD";
     while (!skip_body && !connection_->body_complete())
     {
+        std::string bytes;
         const auto result =
-            co_await connection_->read_some(body, until_deadline());
+            co_await connection_->read_some(bytes, until_deadline());
         if (result == connection_result::done)
             endpoint_heard_at_ = now();
         if (result != connection_result::done)
             co_return outcome_of(result);
-        if (body.size() > max_buffered_response || !held.grow_to(body.size()))
+        body.append(bytes);
+        if (body.size() > max_buffered_response || !held.resize(body.size()))
             co_return attempt_outcome::oversized_response;
     }
     const int status = connection_->status();
     state_.metrics.count_response(status);
     state_.metrics.observe(request_stage::first_event, now() - placed_at_);
     head_sent_ = true;
-    auto text =
+    auto head =
         response_head(status, connection_->reason(), client_headers(headers),
-                      body.size(), keep_alive_) +
-        body;
-    const auto sent = co_await client_.write(std::move(text));
+                      body.size(), keep_alive_);
+    const auto sent = co_await client_.write(std::move(head), std::move(body));
     if (!sent)
         co_return attempt_outcome::client_gone;
     response_sent_ = true;
@@ -118,6 +98,7 @@
 asio::awaitable<attempt_outcome> forwarding::relay_stream(header_list headers)
 {
     event_splitter splitter;
+    memory_share held(state_.body_memory);
     std::uint64_t received = 0;
     // Bytes that complete no event extend the time for one, but not without
     // end.
@@ -130,7 +111,7 @@
         if (!bytes.empty())
             endpoint_heard_at_ = now();
         const auto events = splitter.feed(bytes);
-        if (splitter.is_oversized())
+        if (splitter.is_oversized() || !held.resize(splitter.partial_bytes()))
             co_return attempt_outcome::oversized_response;
         if (!events.empty())
         {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,8 @@
 constexpr msec stop_margin = 400;
 /// Before that, for so long, the requests that still run are answered.
 constexpr msec last_answers_time = 200;
-/// Request bodies may use one part in this many of the memory limit.
+/// Bodies of requests and responses may use one part in this many of the memory
+/// limit. As much again may be in use while requests are sent.
 constexpr std::size_t body_memory_divisor = 4;
 
 msec modified_at(const std::string& path)
@@ -110,8 +111,8 @@
                    directory_sampler(static_cast<std::uint64_t>(incarnation_)),
                .next_request = static_cast<std::uint64_t>(incarnation_) << 20 ^
                                std::hash<std::string>{}(settings_.node) << 44,
-               .body_bytes_limit =
-                   (settings_.memory_mb << 20) / body_memory_divisor}
+               .body_memory = memory_budget((settings_.memory_mb << 20) /
+                                            body_memory_divisor)}
     , server_(traffic_)
     , last_settings_change_(modified_at(settings_path_))
 {
--- a/src/gateway/socket_options.cpp
+++ b/src/gateway/socket_options.cpp
@@ -28,6 +28,9 @@
 using keep_alive_probes =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
+/// By default a socket may hold megabytes.
+constexpr int received_bytes = 64 * 1024;
+
 /// Unanswered probes that close a connection; one may be lost.
 constexpr int probes_before_close = 2;
 
@@ -56,6 +59,13 @@
     socket.set_option(user_timeout(unacknowledged_timeout_ms), ignored);
 }
 
+void limit_received_bytes(asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::receive_buffer_size(received_bytes),
+                      ignored);
+}
+
 void set_silence_limit(asio::ip::tcp::socket& socket, msec limit)
 {
     // The idle time before the first probe, and the pause after each probe.
--- a/src/gateway/socket_options.hpp
+++ b/src/gateway/socket_options.hpp
@@ -18,6 +18,10 @@
 /// is detected early.
 void set_options(boost::asio::ip::tcp::socket& socket);
 
+/// Bounds the bytes that the socket keeps until the process reads them. To be
+/// called before the socket connects.
+void limit_received_bytes(boost::asio::ip::tcp::socket& socket);
+
 /// Closes the connection once the peer's host has acknowledged nothing for
 /// about `limit`, which should be some seconds. An idle connection is probed
 /// with TCP keep-alives, which a host answers however busy its processes are.
--- a/src/gateway/traffic_state.hpp
+++ b/src/gateway/traffic_state.hpp
@@ -4,6 +4,7 @@
 #include "galenapulley/counters.hpp"
 #include "galenapulley/directory_sampler.hpp"
 #include "galenapulley/membership.hpp"
+#include "galenapulley/memory_budget.hpp"
 #include "galenapulley/routing_table.hpp"
 #include "gateway/dispatcher_proxy.hpp"
 #include "gateway/event_log.hpp"
@@ -47,9 +48,8 @@
     bool stopping = false;
     /// New requests are refused, as the process may end before a stream does.
     bool refusing = false;
-    /// Bytes of buffered bodies in memory, and their limit.
-    std::size_t body_bytes = 0;
-    std::size_t body_bytes_limit = 0;
+    /// Memory for the bodies of requests and responses.
+    memory_budget body_memory;
     std::size_t open_connections = 0;
     std::size_t open_requests = 0;
 };
--- /dev/null
+++ b/tests/gateway/gateway_memory_limit_test.cpp
@@ -0,0 +1,69 @@
+#include "gateway/one_gateway.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace galenapulley;
+using namespace galenapulley::testing;
+
+namespace
+{
+
+/// The memory limit of the gateway's settings, and what the process may take
+/// beside bodies that are kept.
+constexpr std::size_t memory_limit = std::size_t{128} << 20;
+constexpr int flooded_clients = 400;
+
+const std::vector<endless_part> kept_parts{
+    endless_part::body, endless_part::long_body, endless_part::chunked_body,
+    endless_part::event, endless_part::header_line};
+
+/// Serves all clients at the same time, each without end.
+void flood_from(endpoint_standin& endpoint, endless_part part)
+{
+    endpoint.set({.slots = flooded_clients, .endless = part});
+    endpoint.register_entry();
+}
+
+} // namespace
+
+namespace galenapulley::testing
+{
+std::ostream& operator<<(std::ostream& out, endless_part part)
+{
+    return out << static_cast<int>(part);
+}
+} // namespace galenapulley::testing
+
+// Guards against a process that runs out of memory, and ends the requests of
+// all clients, because it keeps what endpoints send without end.
+BOOST_DATA_TEST_CASE_F(one_gateway, floods_to_many_clients_are_bounded,
+                       boost::unit_test::data::make(kept_parts), part)
+{
+    flood_from(east, part);
+    flood_from(west, part);
+    pause_for(500);
+    std::vector<std::unique_ptr<wire_client>> clients;
+    for (int n = 0; n < flooded_clients; ++n)
+    {
+        clients.push_back(std::make_unique<wire_client>(gateway->traffic()));
+        const auto id = std::to_string(n);
+        clients.back()->send(sample_request("POST", "/n/" + id, "t" + id));
+    }
+    int answered = 0;
+    for (const auto& it : clients)
+        answered += it->receive().status >= 429 ? 1 : 0;
+    BOOST_TEST(answered == flooded_clients);
+    const auto peak = gateway->process().peak_memory();
+    BOOST_TEST_MESSAGE("peak memory " << peak);
+    BOOST_TEST(peak < memory_limit);
+    set_both({});
+    BOOST_TEST(eventually([&] { return status_of(*gateway, "/i/x") == 200; }));
+    BOOST_TEST(gateway->metrics().find("galenapulley_body_bytes 0\n") !=
+               std::string::npos);
+}
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -75,16 +75,18 @@
 void endpoint_standin::register_entry(const std::string& state)
 {
     std::uint64_t incarnation = 0;
+    int slots = 0;
     {
         const std::lock_guard lock(mutex_);
         incarnation = incarnation_;
+        slots = behaviour_.slots;
     }
     store_.put("servers", id_,
                nlohmann::json{{"Service", service_},
                               {"Address", server_.address()},
                               {"Zone", zone_},
                               {"Version", "v1"},
-                              {"Slots", 4},
+                              {"Slots", slots},
                               {"State", state},
                               {"ColdRemainingMs", 0},
                               {"Sequence", 1},
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -45,6 +45,9 @@
 /// How an endpoint responds to requests.
 struct endpoint_behaviour
 {
+    /// Requests that it serves at the same time, in its next entry in the
+    /// store.
+    int slots = 4;
     /// Responds 503 without running the request.
     bool refuses_requests = false;
     /// Attempt id of these refusals in place of that of the request.
