--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -39,10 +39,6 @@
 constexpr std::size_t max_pipelined_bytes = std::size_t{256} * 1024;
 /// Time for a body to arrive after its head.
 constexpr msec body_timeout = 10'000;
-/// Path on the metrics address that returns the gauges as JSON; every other
-/// path returns the metrics.
-constexpr std::string_view status_path = "/status";
-
 std::chrono::milliseconds duration(msec n)
 {
     return std::chrono::milliseconds(std::max(n, 0_ms));
@@ -60,13 +56,6 @@
 // g++ 12 destroys the elements of initializer lists in coroutines twice, so
 // header lists are built in functions that are not coroutines.
 
-std::string text_response(int status, std::string_view type,
-                          const std::string& body, bool keep)
-{
-    const header_list headers{{"Content-Type", std::string(type)}};
-    return response_head(status, "", headers, body.size(), keep) + body;
-}
-
 std::string format_error_response(int status, error_kind kind,
                                   const std::string& message, msec retry_after,
                                   bool keep)
@@ -400,18 +389,6 @@
     co_return keep_open;
 }
 
-asio::awaitable<bool> client_connection::write(std::string bytes)
-{
-    if (disconnected_)
-        co_return false;
-    boost::system::error_code ec;
-    co_await asio::async_write(socket_, asio::buffer(bytes),
-                               redirect_error(use_awaitable, ec));
-    if (ec)
-        disconnected_ = true;
-    co_return !disconnected_;
-}
-
 asio::awaitable<bool> client_connection::write(std::string head,
                                                byte_chain body)
 {
@@ -429,15 +406,6 @@
     co_return !disconnected_;
 }
 
-asio::awaitable<bool> client_connection::send_text(int status,
-                                                   std::string_view type,
-                                                   std::string body, bool keep)
-{
-    auto text = text_response(status, type, body, keep);
-    const bool sent = co_await write(std::move(text));
-    co_return sent&& keep;
-}
-
 asio::awaitable<bool> client_connection::refuse(error_kind kind,
                                                 std::string message,
                                                 msec retry_after, bool keep)
@@ -450,46 +418,4 @@
     co_return sent&& keep;
 }
 
-asio::awaitable<bool> client_connection::serve_ready(client_request request)
-{
-    const bool known = state_.format.is_ready_check(request.target);
-    const int status = !known ? 404 : state_.ready ? 200 : 503;
-    std::string body = state_.ready ? "{}" : R"({"ready":false})";
-    co_return co_await send_text(status, "application/json", std::move(body),
-                                 request.keep_alive);
-}
-
-asio::awaitable<bool> client_connection::serve_directory(client_request request)
-{
-    const auto query = state_.format.read_directory_query(request.target);
-    std::vector<std::string> addresses;
-    if (query)
-        for (const auto& it : state_.directory.choose(state_.nodes))
-            addresses.push_back(it.address);
-    const int status = !query ? 404 : addresses.empty() ? 503 : 200;
-    std::string body = "{}";
-    if (status == 200)
-        body = state_.format.directory_response(addresses,
-                                                state_.settings.directory_ttl);
-    co_return co_await send_text(status, "application/json", std::move(body),
-                                 request.keep_alive);
-}
-
-asio::awaitable<bool> client_connection::serve_metrics(client_request request)
-{
-    if (request.path() == status_path)
-    {
-        auto status = state_.metrics.status();
-        co_return co_await send_text(200, "application/json", std::move(status),
-                                     request.keep_alive);
-    }
-    state_.metrics.set(gauge::body_bytes,
-                       static_cast<std::int64_t>(state_.body_memory.used()));
-    state_.metrics.set(gauge::open_connections,
-                       static_cast<std::int64_t>(state_.open_connections));
-    auto body = state_.count.expose() + state_.metrics.expose();
-    co_return co_await send_text(200, "text/plain; version=0.0.4",
-                                 std::move(body), request.keep_alive);
-}
-
 } // namespace galenapulley
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -54,9 +54,7 @@
     /// Whether the client of the current request has disconnected.
     bool client_gone() const { return disconnected_; }
     /// Sends bytes of the response; false if the client has disconnected.
-    boost::asio::awaitable<bool> write(std::string bytes);
-    /// Sends a whole response.
-    boost::asio::awaitable<bool> write(std::string head, byte_chain body);
+    boost::asio::awaitable<bool> write(std::string head, byte_chain body = {});
     /// Sends an error response; returns whether the connection can be kept.
     boost::asio::awaitable<bool> refuse(error_kind kind, std::string message,
                                         msec retry_after, bool keep);
--- a/src/gateway/forwarding_handover.cpp
+++ b/src/gateway/forwarding_handover.cpp
@@ -1,3 +1,4 @@
+#include "galenapulley/error_kind.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/forwarding.hpp"
 #include "gateway/http_text.hpp"
@@ -18,16 +19,11 @@
 constexpr msec peer_connect_timeout = 400;
 /// The other node answers keep-alives however long its response takes.
 constexpr msec peer_silence_limit = 3000;
-constexpr int status_request_timeout = 408;
-constexpr int status_too_many = 429;
-constexpr int status_unavailable = 503;
 
 /// Whether a response is a node's own and states that the request has not run.
 bool is_refusal(int status, const response_metadata& metadata)
 {
-    return !metadata.is_signed &&
-           (status == status_request_timeout || status == status_too_many ||
-            status == status_unavailable);
+    return !metadata.is_signed && is_refusal_status(status);
 }
 
 } // namespace
