--- a/src/galenapulley/memory_budget.hpp
+++ b/src/galenapulley/memory_budget.hpp
@@ -22,7 +22,6 @@
 
     /// Bytes of all bodies.
     std::size_t used() const { return used_; }
-    std::size_t limit() const { return limit_; }
 
 private:
     friend class memory_share;
--- a/tests/gateway/gateway_endless_bytes_test.cpp
+++ b/tests/gateway/gateway_endless_bytes_test.cpp
@@ -3,7 +3,8 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
-#include <ostream>
+#include <cstdint>
+#include <string>
 #include <vector>
 
 using namespace galenapulley;
@@ -18,29 +19,15 @@
 /// Time in which an attempt at such an endpoint has to end.
 constexpr msec attempt_limit = 2500;
 
-const std::vector<endless_part> floods{
-    endless_part::head,         endless_part::header_line,
-    endless_part::not_http,     endless_part::interim,
-    endless_part::body,         endless_part::long_body,
-    endless_part::chunked_body, endless_part::chunk_extension,
-    endless_part::trailer};
 /// Enough floods for a quarantine if they were crashes.
 constexpr int many_floods = 4;
 
 } // namespace
 
-namespace galenapulley::testing
-{
-std::ostream& operator<<(std::ostream& out, endless_part part)
-{
-    return out << static_cast<int>(part);
-}
-} // namespace galenapulley::testing
-
 // An endpoint in trouble sends bytes that are no response, in a head or a body,
 // until the caller closes. The request continues at another endpoint.
 BOOST_DATA_TEST_CASE_F(one_gateway, an_endless_response_is_retried_elsewhere,
-                       boost::unit_test::data::make(floods), part)
+                       boost::unit_test::data::make(response_floods()), part)
 {
     east.set({.endless = part});
     const auto response = gateway->call(sample_request("GET", "/i/x", "t1"));
@@ -52,7 +39,7 @@
 
 // A request that may not be repeated ends true: it may have run.
 BOOST_DATA_TEST_CASE_F(one_gateway, an_unsafe_request_ends_in_an_error,
-                       boost::unit_test::data::make(floods), part)
+                       boost::unit_test::data::make(response_floods()), part)
 {
     set_both({.endless = part});
     const boot_time_clock time;
@@ -67,7 +54,7 @@
 // Guards against bytes without end that are taken for crashes by the request:
 // it was refused for minutes after the last of them, whoever sent it.
 BOOST_DATA_TEST_CASE_F(one_gateway, floods_do_not_quarantine_a_request,
-                       boost::unit_test::data::make(floods), part)
+                       boost::unit_test::data::make(response_floods()), part)
 {
     set_both({.endless = part});
     for (int n = 0; n < many_floods; ++n)
@@ -147,14 +134,26 @@
     }
 }
 
-// The store may be in trouble as well; its copies stay in use.
+// The store may be in trouble as well; its copies stay in use, and are read
+// anew afterwards.
 BOOST_FIXTURE_TEST_CASE(an_endless_response_of_the_store_is_bounded,
                         one_gateway)
 {
-    store.set_mode(store_mode::endless);
-    pause_for(2000);
-    BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "t1")).status ==
-               200);
-    BOOST_TEST(gateway->process().peak_memory() < max_memory);
-    store.set_mode(store_mode::normal);
+    std::uint64_t version = 1;
+    for (const auto mode : {store_mode::endless, store_mode::endless_head})
+    {
+        // Cuts the watches, so that the node reads and watches all tables.
+        store.restore(store.backup());
+        const auto calls = store.calls();
+        store.set_mode(mode);
+        pause_for(2000);
+        BOOST_TEST(store.calls() > calls);
+        BOOST_TEST(status_of(*gateway, "/i/x") == 200);
+        BOOST_TEST(gateway->process().peak_memory() < max_memory);
+        store.set_mode(store_mode::normal);
+        const auto added = "/added" + std::to_string(++version) + "/";
+        store.put("op", "config", sample_configuration(version, added));
+        BOOST_TEST(eventually(
+            [&] { return status_of(*gateway, added + "x") == 200; }));
+    }
 }
--- a/tests/gateway/gateway_flood_soak_test.cpp
+++ b/tests/gateway/gateway_flood_soak_test.cpp
@@ -13,12 +13,8 @@
 /// Bytes without end, or a failure whose status looks like a refusal.
 endpoint_behaviour choose_fault(std::mt19937_64& random)
 {
-    constexpr std::array<endless_part, 10> floods{
-        endless_part::head,         endless_part::header_line,
-        endless_part::not_http,     endless_part::interim,
-        endless_part::body,         endless_part::long_body,
-        endless_part::chunked_body, endless_part::chunk_extension,
-        endless_part::trailer,      endless_part::event};
+    auto floods = response_floods();
+    floods.push_back(endless_part::event);
     constexpr std::array<int, 4> statuses{408, 429, 500, 503};
     const int status = statuses.at(random() % statuses.size());
     if (random() % 3 == 0)
--- a/tests/gateway/gateway_memory_limit_test.cpp
+++ b/tests/gateway/gateway_memory_limit_test.cpp
@@ -5,9 +5,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <memory>
-#include <ostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace galenapulley;
@@ -36,14 +37,6 @@
 
 } // namespace
 
-namespace galenapulley::testing
-{
-std::ostream& operator<<(std::ostream& out, endless_part part)
-{
-    return out << static_cast<int>(part);
-}
-} // namespace galenapulley::testing
-
 // Guards against a process that runs out of memory because bodies count only
 // once they have arrived whole.
 BOOST_AUTO_TEST_CASE(uploads_in_progress_are_bounded)
--- a/tests/gateway/gateway_partition_test.cpp
+++ b/tests/gateway/gateway_partition_test.cpp
@@ -194,12 +194,17 @@
 {
     cut.refuse();
     pass_contact_time();
-    sound.set_all({.status = 503, .is_signed = false});
-    const auto response = cut.call("/n/e", "t-refused", "POST");
-    BOOST_TEST(response.status == 502);
-    BOOST_TEST(eventually([&] { return handovers_of("t-refused") > 0; }));
-    BOOST_TEST(handovers_of("t-refused") == 1);
-    BOOST_TEST(runs_of("/n/e") == 1);
+    for (const int status : {408, 429, 503})
+        for (const bool is_signed : {true, false})
+        {
+            sound.set_all({.status = status, .is_signed = is_signed});
+            const auto attempt = next_attempt();
+            const auto target = "/n/" + attempt;
+            BOOST_TEST(cut.call(target, attempt, "POST").status == 502);
+            BOOST_TEST(eventually([&] { return handovers_of(attempt) > 0; }));
+            BOOST_TEST(handovers_of(attempt) == 1);
+            BOOST_TEST(runs_of(target) == 1);
+        }
 }
 
 // Guards against a detour that outlasts the partition.
--- a/tests/gateway/gateway_refusal_test.cpp
+++ b/tests/gateway/gateway_refusal_test.cpp
@@ -3,11 +3,14 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <string>
 #include <vector>
 
 using namespace galenapulley;
 using namespace galenapulley::testing;
+namespace data = boost::unit_test::data;
 
 namespace
 {
@@ -28,9 +31,10 @@
 // Guards against "not run" for a request that an endpoint has run: the client
 // repeats it, and it runs twice.
 BOOST_DATA_TEST_CASE_F(one_gateway, an_unsafe_request_that_ran_is_not_refused,
-                       boost::unit_test::data::make(refusals), status)
+                       data::make(refusals) * data::make({true, false}), status,
+                       is_signed)
 {
-    set_both({.status = status, .body = "try again"});
+    set_both({.status = status, .is_signed = is_signed, .body = "try again"});
     const auto response = gateway->call(sample_request("POST", "/n/x", "t1"));
     BOOST_TEST(response.status == 502);
     BOOST_TEST(response.header("Galenapulley-Server-Seal") == "(none)");
@@ -43,6 +47,36 @@
         [&] { return gateway->log().find(end_line) != std::string::npos; }));
 }
 
+// Guards against the same where the refusal follows a proven one.
+BOOST_DATA_TEST_CASE(an_unsafe_request_refused_and_then_run_is_not_refused,
+                     data::make(refusals) * data::make({true, false}), status,
+                     is_signed)
+{
+    auto configuration = nlohmann::json::parse(sample_configuration(1));
+    configuration["Routes"][2]["MaxAttempts"] = 2;
+    one_gateway fleet(configuration.dump());
+    fleet.east.set({.refuses_requests = true});
+    fleet.west.set({.status = status, .is_signed = is_signed});
+    const auto response =
+        fleet.gateway->call(sample_request("POST", "/n/x", "t1"));
+    BOOST_TEST(response.status == 502);
+    BOOST_TEST(fleet.arrivals() == 2U);
+    BOOST_TEST(fleet.runs() == 1U);
+}
+
+// Guards against "not run" by the last of several attempts, of which an earlier
+// one may have run.
+BOOST_FIXTURE_TEST_CASE(a_refusal_after_a_lost_response_is_not_passed_on,
+                        one_gateway)
+{
+    east.set({.closes_connection = true});
+    west.set({.refuses_requests = true});
+    BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "t1")).status ==
+               502);
+    BOOST_TEST(east.runs() == 1U);
+    BOOST_TEST(west.received().size() > 0U);
+}
+
 // Guards against the same for an endpoint that is slow to end its response: the
 // client gets its error without the rest.
 BOOST_FIXTURE_TEST_CASE(an_endless_refusal_is_not_waited_for, one_gateway)
@@ -73,7 +107,7 @@
 // What may be repeated is retried elsewhere, and gets the endpoint's own
 // response only if that fails, too.
 BOOST_DATA_TEST_CASE_F(one_gateway, a_refused_idempotent_request_is_retried,
-                       boost::unit_test::data::make(refusals), status)
+                       data::make(refusals), status)
 {
     east.set({.status = status});
     BOOST_TEST(gateway->call(sample_request("GET", "/i/x", "t1")).status ==
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -46,6 +46,22 @@
 
 } // namespace
 
+const std::vector<endless_part>& response_floods()
+{
+    static const std::vector<endless_part> parts{
+        endless_part::head,         endless_part::header_line,
+        endless_part::not_http,     endless_part::interim,
+        endless_part::body,         endless_part::long_body,
+        endless_part::chunked_body, endless_part::chunk_extension,
+        endless_part::trailer};
+    return parts;
+}
+
+std::ostream& operator<<(std::ostream& out, endless_part part)
+{
+    return out << static_cast<int>(part);
+}
+
 std::string received_request::header(const std::string& name) const
 {
     const auto it = headers.find(name);
--- a/tests/platform/endpoint_standin.hpp
+++ b/tests/platform/endpoint_standin.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
     comments
 };
 
+/// Those in a response that is no stream.
+const std::vector<endless_part>& response_floods();
+std::ostream& operator<<(std::ostream& out, endless_part part);
+
 /// How an endpoint responds to requests.
 struct endpoint_behaviour
 {
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -147,12 +147,15 @@
     return it == watchers_.end() ? 0 : it->second;
 }
 
-bool store_standin::send_without_end(wire_socket& socket)
+bool store_standin::send_without_end(wire_socket& socket, store_mode mode)
 {
     const std::string filler(8192, 'x');
-    bool open = write_bytes(socket, "HTTP/1.1 200 X\r\n\r\n");
+    const bool in_head = mode == store_mode::endless_head;
+    const auto repeated = in_head ? "X-More: " + filler + "\r\n" : filler;
+    const std::string first = "HTTP/1.1 200 X\r\n";
+    bool open = write_bytes(socket, in_head ? first : first + "\r\n");
     while (open)
-        open = write_bytes(socket, filler);
+        open = write_bytes(socket, repeated);
     return false;
 }
 
@@ -177,7 +180,7 @@
     const std::string target(request.target());
     const auto path = target.substr(0, target.find('?'));
     const auto query = query_of(target);
-    bool endless = false;
+    auto mode = store_mode::normal;
     {
         const std::lock_guard lock(mutex_);
         ++calls_;
@@ -185,10 +188,10 @@
             return false;
         if (mode_ == store_mode::refusing)
             return write_json(socket, 503, "{}");
-        endless = mode_ == store_mode::endless;
+        mode = mode_;
     }
-    if (endless)
-        return send_without_end(socket);
+    if (mode == store_mode::endless || mode == store_mode::endless_head)
+        return send_without_end(socket, mode);
     if (path == "/galenapulley/rows-get")
         return respond(socket, 200, get_rows(query));
     std::pair<int, std::string> out{404, "{}"};
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -22,7 +22,9 @@
     /// Closes every connection without a response.
     resetting,
     /// Responds with a body that has no end.
-    endless
+    endless,
+    /// Responds with header lines that have no end.
+    endless_head
 };
 
 struct stored_row
@@ -73,7 +75,7 @@
 
     bool respond(wire_socket& socket, int status, const std::string& body);
     bool serve(wire_socket& socket, const wire_request& request);
-    static bool send_without_end(wire_socket& socket);
+    static bool send_without_end(wire_socket& socket, store_mode mode);
     std::string get_rows(const std::map<std::string, std::string>& query);
     /// Status and body.
     std::pair<int, std::string>
