Tests: processes that run in parallel do not take each other's ports

gateway_memory_limit_test failed once, beside three other programs: in five cases the gateway had not started ("Address already in use" in the log of each), and the test talked to the gateway of another program, whose endpoints flooded. Cause: free_address looked whether a port is unused, but a port that it had handed out stays unused until the child listens; the programs of one CTest run begin 97 ports apart and walk in step. A lock on a file for each port, held by the process, keeps it now.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,12 +1,15 @@
 #include "support/child_process.hpp"
 
+#include <boost/filesystem.hpp>
 #include <boost/process.hpp>
 
 #include <arpa/inet.h>
 #include <csignal>
+#include <fcntl.h>
 #include <fstream>
 #include <poll.h>
 #include <stdexcept>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -16,6 +19,39 @@
 
 namespace process = boost::process;
 
+namespace
+{
+
+/// Keeps the port from the other test processes until this one ends. Its child
+/// may not listen on it yet.
+bool reserve_port(int port)
+{
+    const auto file = boost::filesystem::temp_directory_path() /
+                      ("galenapulley-port-" + std::to_string(port));
+    const int fd = ::open(file.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+    if (fd < 0)
+        return false;
+    if (::flock(fd, LOCK_EX | LOCK_NB) == 0)
+        return true;
+    ::close(fd);
+    return false;
+}
+
+bool is_unused(int port)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(static_cast<std::uint16_t>(port));
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool is_free =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+    ::close(fd);
+    return is_free;
+}
+
+} // namespace
+
 struct child_process::state
 {
     process::child child;
@@ -106,15 +142,7 @@
     for (int n = 0; n < last - first; ++n)
     {
         next = next + 1 >= last ? first : next + 1;
-        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in name{};
-        name.sin_family = AF_INET;
-        name.sin_port = htons(static_cast<std::uint16_t>(next));
-        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool is_free =
-            ::bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
-        ::close(fd);
-        if (is_free)
+        if (reserve_port(next) && is_unused(next))
             return "127.0.0.1:" + std::to_string(next);
     }
     throw std::runtime_error("no free port");
