Tests: other clients beside floods, and floods through a peer

gateway_memory_limit_test sound_requests_are_served_beside_floods: one of two endpoints sends without end, eight clients share a path.

--- a/tests/gateway/gateway_memory_limit_test.cpp
+++ b/tests/gateway/gateway_memory_limit_test.cpp
@@ -5,8 +5,10 @@
 
 #include <nlohmann/json.hpp>
 
-#include <atomic>
+#include <algorithm>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -28,6 +30,17 @@
     endless_part::body, endless_part::long_body, endless_part::chunked_body,
     endless_part::event, endless_part::header_line};
 
+/// How much of the gateway's log a failed check shows.
+constexpr std::size_t log_tail = 4000;
+
+std::string text_of(const std::map<int, int>& counts)
+{
+    std::string out;
+    for (const auto& [status, n] : counts)
+        out += std::to_string(status) + ": " + std::to_string(n) + ' ';
+    return out;
+}
+
 /// Serves all clients at the same time, each without end.
 void flood_from(endpoint_standin& endpoint, endless_part part)
 {
@@ -95,3 +108,46 @@
     BOOST_TEST(gateway->metrics().find("galenapulley_body_bytes 0\n") !=
                std::string::npos);
 }
+
+// Guards against sound requests that fail while one endpoint of two sends
+// without end: all clients use the same path, so that they share a quarantine,
+// too.
+BOOST_DATA_TEST_CASE_F(one_gateway, sound_requests_are_served_beside_floods,
+                       boost::unit_test::data::make(kept_parts), part)
+{
+    constexpr int callers = 8;
+    constexpr int calls = 25;
+    flood_from(east, part);
+    std::mutex mutex;
+    std::map<int, int> reads;
+    std::map<int, int> writes;
+    std::vector<std::thread> threads;
+    for (int n = 0; n < callers; ++n)
+        threads.emplace_back(
+            [&, n]
+            {
+                for (int k = 0; k < calls; ++k)
+                {
+                    const auto id = std::to_string(n) + "-" + std::to_string(k);
+                    const int read = status_of(*gateway, "/i/x");
+                    const int written =
+                        gateway->call(sample_request("POST", "/n/x", id))
+                            .status;
+                    const std::lock_guard lock(mutex);
+                    ++reads[read];
+                    ++writes[written];
+                }
+            });
+    for (auto& it : threads)
+        it.join();
+    const auto log = gateway->log();
+    const auto tail = log.substr(log.size() - std::min(log.size(), log_tail));
+    BOOST_TEST_CONTEXT("reads " << text_of(reads) << "\nwrites "
+                                << text_of(writes) << "\n"
+                                << tail)
+    {
+        BOOST_TEST(reads[200] == callers * calls);
+        BOOST_TEST(writes[200] + writes[502] == callers * calls);
+        BOOST_TEST(east.received().size() > 0U);
+    }
+}
--- a/tests/gateway/gateway_partition_test.cpp
+++ b/tests/gateway/gateway_partition_test.cpp
@@ -207,6 +207,37 @@
         }
 }
 
+// Guards against bytes without end that pass through another node: either node
+// keeps them, or refuses other requests because of them.
+BOOST_FIXTURE_TEST_CASE(floods_through_another_node_are_bounded, two_domains)
+{
+    constexpr std::size_t max_memory = std::size_t{64} << 20;
+    cut.refuse();
+    pass_contact_time();
+    // The other node avoids flooding endpoints for a while, and refuses then.
+    const auto is_flooded = [&]
+    {
+        const auto attempt = next_attempt();
+        const auto target = "/n/" + attempt;
+        const int status = cut.call(target, attempt, "POST").status;
+        BOOST_TEST((status == 502) == (runs_of(target) == 1));
+        BOOST_TEST(cut.call("/i/x", next_attempt()).status >= 429);
+        return status == 502;
+    };
+    for (const auto part : response_floods())
+    {
+        sound.set_all({.endless = part});
+        BOOST_TEST(eventually(is_flooded));
+    }
+    sound.set_all({.endless = endless_part::event});
+    BOOST_TEST(cut.call("/s/x", next_attempt(), "POST").status != 200);
+    sound.set_all({});
+    BOOST_TEST(eventually(
+        [&] { return cut.call("/i/x", next_attempt()).status == 200; }));
+    for (const auto* const it : {&cut, &sound})
+        BOOST_TEST(it->gateway->process().peak_memory() < max_memory);
+}
+
 // Guards against a detour that outlasts the partition.
 BOOST_FIXTURE_TEST_CASE(a_node_uses_its_endpoints_again_after_a_partition,
                         two_domains)
