--- a/tests/gateway/gateway_memory_limit_test.cpp
+++ b/tests/gateway/gateway_memory_limit_test.cpp
@@ -122,6 +122,7 @@
     std::map<int, int> reads;
     std::map<int, int> writes;
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int n = 0; n < callers; ++n)
         threads.emplace_back(
             [&, n]
