Gateway: settings and messages for optional decisions under load

Cause: the new decisions must be off where neither the settings nor the deployment's contracts ask for them. Result: gateway_settings_test covers defaults, contracts and overrides; nothing reads the flags yet.

--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -41,6 +41,10 @@
     std::string failure_domain;
     /// Retries allowed to all nodes together in ten seconds.
     retry_allowance cluster_retries{};
+    /// See gateway_settings::load_decisions.
+    bool admission_forecast = false;
+    bool account_shares = false;
+    bool endpoint_estimates = false;
 };
 
 /// Places requests on endpoints, queues them until one is free, or refuses
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,11 +79,17 @@
               .incarnation = incarnation_},
              [this](const wire::peer_message& message) { receive(message); })
     , store_(adapter_.make_store(loop_, settings_))
-    , dispatcher_({.node = settings_.node,
-                   .failure_domain = settings_.failure_domain,
-                   .cluster_retries = {.base = settings_.retry_base,
-                                       .ratio = settings_.retry_ratio}},
-                  clock_, log_)
+    , dispatcher_(
+          {.node = settings_.node,
+           .failure_domain = settings_.failure_domain,
+           .cluster_retries = {.base = settings_.retry_base,
+                               .ratio = settings_.retry_ratio},
+           .admission_forecast =
+               settings_.decisions.admission_forecast.value_or(false),
+           .account_shares = settings_.decisions.account_shares.value_or(false),
+           .endpoint_estimates =
+               settings_.decisions.endpoint_estimates.value_or(false)},
+          clock_, log_)
     , announcer_(peers_, [this] { return dispatcher_.all_work(); })
     , view_(own_rank(), loop_, *store_, *adapter_.codec, peers_, log_,
             {.routing = [this](auto it) { set_routing(std::move(it)); },
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -38,6 +38,9 @@
     std::function<std::unique_ptr<row_store>(control_loop&,
                                              const gateway_settings&)>
         make_store;
+    /// Turns on the decisions that the deployment's contracts ask for and the
+    /// settings leave open.
+    std::function<void(gateway_settings&)> apply_contracts;
 };
 
 /// One gateway process: accepts clients' requests, places them on endpoints in
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <optional>
 
 namespace galenapulley
 {
@@ -17,6 +18,13 @@
                                                      "error"};
 constexpr double ms_per_second = 1000;
 
+std::optional<bool> optional_flag(object_reader& reader, const char* key)
+{
+    if (!reader.has(key))
+        return std::nullopt;
+    return reader.flag(key);
+}
+
 } // namespace
 
 std::uint32_t capacity_of(const gateway_settings& settings)
@@ -59,6 +67,11 @@
         reader.decimal("memory_mb", 16, 1'000'000, 128));
     out.processor_share = reader.decimal("processor_share", 0.001, 1024, 1);
     out.processor_speed = reader.decimal("processor_speed", 0.001, 1024, 1);
+    out.decisions = {
+        .admission_forecast = optional_flag(reader, "admission_forecast"),
+        .account_shares = optional_flag(reader, "account_shares"),
+        .endpoint_estimates = optional_flag(reader, "endpoint_estimates")};
+    out.contracts = reader.names("contracts", name_rule, false);
     out.is_bootstrap = reader.flag("bootstrap", false);
     out.log_level = reader.choice("log_level", log_levels, std::string("info"));
     reader.finish();
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -5,6 +5,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,20 @@
     /// the core relative to those of the other nodes.
     double processor_share = 1;
     double processor_speed = 1;
+    /// Optional decisions under load. One that isn't set follows the contracts
+    /// of the deployment, and is off where none asks for it.
+    struct load_decisions
+    {
+        /// Requests are admitted, and ordered, by a forecast of their wait.
+        std::optional<bool> admission_forecast{};
+        /// Client accounts share endpoints fairly while requests wait.
+        std::optional<bool> account_shares{};
+        /// Endpoints are chosen by their observed speed and reliability.
+        std::optional<bool> endpoint_estimates{};
+    };
+    load_decisions decisions{};
+    /// What the deployment asks for, in the platform's words.
+    std::vector<std::string> contracts;
     /// The whole fleet starts, not only this node.
     bool is_bootstrap = false;
     std::string log_level = "info";
--- a/src/gateway/run_gateway.cpp
+++ b/src/gateway/run_gateway.cpp
@@ -60,6 +60,7 @@
                   << settings.status().message() << '\n';
         return exit_settings;
     }
+    adapter.apply_contracts(*settings);
     // Signals are blocked before any thread starts; a single thread handles
     // them.
     const auto signals = block_signals();
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gateway_settings.hpp"
+#include "platform_adapter.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -45,6 +46,26 @@
     BOOST_TEST(settings->memory_mb == 181U);
 }
 
+// Guards against optional decisions that are on in deployments that did not ask
+// for them, and against a setting of the operators that a contract overrides.
+BOOST_AUTO_TEST_CASE(decisions_follow_contracts_and_settings)
+{
+    auto plain = parse_gateway_settings(sample(R"(,"contracts":["base"])"));
+    BOOST_TEST_REQUIRE(plain.ok());
+    platform::apply_contracts(*plain);
+    BOOST_TEST(!plain->decisions.admission_forecast.has_value());
+    BOOST_TEST(!plain->decisions.account_shares.has_value());
+    BOOST_TEST(!plain->decisions.endpoint_estimates.has_value());
+
+    auto overloaded = parse_gateway_settings(
+        sample(R"(,"contracts":["base","pressure"],"account_shares":false)"));
+    BOOST_TEST_REQUIRE(overloaded.ok());
+    platform::apply_contracts(*overloaded);
+    BOOST_TEST(overloaded->decisions.admission_forecast.value_or(false));
+    BOOST_TEST(!overloaded->decisions.account_shares.value_or(true));
+    BOOST_TEST(overloaded->decisions.endpoint_estimates.value_or(false));
+}
+
 // Guards against a node that starts with an invalid or unknown setting.
 BOOST_AUTO_TEST_CASE(invalid_settings_are_reported)
 {
