Gateway: partial views of the fleet no longer list weak nodes to clients

A node that has just started knows a few nodes for its first rounds of gossip, and a node that loses contact sees few live ones; both took these for a small fleet and listed all of them, or only themselves. When one of two strong nodes of a failure domain was lost, a weak one replaced it. Clients kept the addresses, and these nodes were not ready later on.

--- a/src/galenapulley/serving_set.cpp
+++ b/src/galenapulley/serving_set.cpp
@@ -31,7 +31,8 @@
 
 serving_set::serving_set(serving_set_options options) : options_(options) {}
 
-bool serving_set::update(const std::vector<serving_candidate>& live)
+bool serving_set::update(const std::vector<serving_candidate>& live,
+                         std::size_t known)
 {
     auto ranked = live;
     std::sort(ranked.begin(), ranked.end(),
@@ -42,11 +43,20 @@
                                     { return sum + it.request_rate; });
     const double cores = request_rate_ * options_.processor_ms_per_request /
                          ms_per_second / options_.max_utilization;
-    auto chosen = choose(ranked, cores);
-    for (const auto& [node, reason] :
-         choose(ranked, cores * options_.release_factor))
-        if (members_.contains(node))
-            chosen.try_emplace(node, serving_reason::recent_rate);
+    member_map chosen;
+    if (std::max(known, live.size()) <= options_.small_fleet)
+    {
+        for (const auto& it : ranked)
+            chosen.emplace(it.rank.node, serving_reason::small_fleet);
+    }
+    else
+    {
+        chosen = choose(ranked, cores);
+        for (const auto& [node, reason] :
+             choose(ranked, cores * options_.release_factor))
+            if (members_.contains(node))
+                chosen.try_emplace(node, serving_reason::recent_rate);
+    }
     has_standbys_ = chosen.size() < live.size();
     const bool changed = chosen != members_;
     members_ = std::move(chosen);
@@ -54,25 +64,37 @@
 }
 
 serving_set::member_map
-serving_set::choose(const std::vector<serving_candidate>& ranked,
-                    double cores) const
+serving_set::domain_minimum(const std::vector<serving_candidate>& ranked) const
 {
-    member_map chosen;
-    if (ranked.size() <= options_.small_fleet)
+    struct domain_nodes
     {
-        for (const auto& it : ranked)
-            chosen.emplace(it.rank.node, serving_reason::small_fleet);
-        return chosen;
-    }
-    std::map<std::string, std::size_t> chosen_of_domain;
+        std::size_t count = 0;
+        double strongest = 0;
+    };
+    member_map chosen;
+    std::map<std::string, domain_nodes> domains;
     for (const auto& it : ranked)
     {
-        if (chosen_of_domain[it.failure_domain] == options_.nodes_per_domain)
+        auto& domain = domains[it.failure_domain];
+        if (domain.count == 0)
+            domain.strongest = cores_of(it);
+        if (domain.count == options_.nodes_per_domain ||
+            cores_of(it) < options_.comparable_capacity * domain.strongest)
             continue;
-        ++chosen_of_domain[it.failure_domain];
+        ++domain.count;
         chosen.emplace(it.rank.node, serving_reason::domain_minimum);
-        cores -= cores_of(it);
     }
+    return chosen;
+}
+
+serving_set::member_map
+serving_set::choose(const std::vector<serving_candidate>& ranked,
+                    double cores) const
+{
+    auto chosen = domain_minimum(ranked);
+    for (const auto& it : ranked)
+        if (chosen.contains(it.rank.node))
+            cores -= cores_of(it);
     for (const auto& it : ranked)
     {
         if (cores <= 0)
--- a/src/galenapulley/serving_set.hpp
+++ b/src/galenapulley/serving_set.hpp
@@ -42,6 +42,10 @@
     std::size_t small_fleet = 24;
     /// One node of a failure domain may drain while another one fails.
     std::size_t nodes_per_domain = 2;
+    /// Further nodes of a failure domain must have at least this share of the
+    /// capacity of its strongest one. Clients of a domain whose other strong
+    /// node is lost are served better elsewhere than by a weak node.
+    double comparable_capacity = 0.5;
     /// Processor time of one request.
     double processor_ms_per_request = 6;
     /// Utilization above which requests have to wait for the processor.
@@ -62,7 +66,9 @@
     explicit serving_set(serving_set_options options = {});
 
     /// Recomputes the set from all live nodes; returns whether it has changed.
-    bool update(const std::vector<serving_candidate>& live);
+    /// `known` counts the nodes of the fleet: a node that reaches few of them
+    /// must not take the rest for a small fleet.
+    bool update(const std::vector<serving_candidate>& live, std::size_t known);
 
     bool contains(const std::string& node) const
     {
@@ -83,6 +89,9 @@
     /// Strongest nodes first, up to the given capacity in cores.
     member_map choose(const std::vector<serving_candidate>& ranked,
                       double cores) const;
+    /// The strongest nodes of each failure domain.
+    member_map
+    domain_minimum(const std::vector<serving_candidate>& ranked) const;
 
     serving_set_options options_;
     member_map members_;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -46,6 +46,7 @@
     update_live(live);
     update_domain_nodes(live);
     update_serving_set(live);
+    join_.on_round(members_.known_peers(), now);
     dispatcher_.set_nodes(live_.size(), members_.known_peers());
     dispatcher_.drop_missing(view_.store_reached(),
                              view_.authoritative_since());
@@ -108,7 +109,7 @@
         candidates.push_back({.rank = own_rank(),
                               .failure_domain = settings_.failure_domain,
                               .request_rate = rate});
-    if (serving_set_.update(candidates))
+    if (serving_set_.update(candidates, members_.known_peers() + 1))
     {
         log_serving_set();
         metrics_.set_serving_set(serving_set_.members());
@@ -156,6 +157,9 @@
 
 std::vector<listed_node> gateway::listed_nodes() const
 {
+    // Clients keep the addresses that they have while the directory has none.
+    if (!join_.is_complete())
+        return {};
     std::vector<listed_node> out;
     for (const auto& [node, reason] : serving_set_.members())
     {
