Gateway: an event tries a bounded number of waiting requests

Cause: each completion and announcement tried every waiting request at every endpoint and sorted the queue, so that the event loop was blocked for seconds with a long queue. Change: the queue keeps its order from event to event; an event tries at most 16 requests, and 4 that may be split, and skips those that need more room than a failed attempt has found; continuations in the next iterations of the loop and ticks try the rest. Gauges show the longest turn, the most attempts and the turns that were cut. The order equals that of the sort, by a property test.

--- a/src/galenapulley/placement_queue.hpp
+++ b/src/galenapulley/placement_queue.hpp
@@ -4,6 +4,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace galenapulley
@@ -23,29 +28,73 @@
     msec min_service_time = 0;
 };
 
+/// Position of a request in the queue; a lower one is placed earlier.
+struct placement_rank
+{
+    int priority = 0;
+    /// The first token can't be in time any more.
+    bool late = false;
+    msec first_token_due_at = 0;
+    std::uint64_t request = 0;
+
+    bool operator<(const placement_rank& other) const
+    {
+        const auto key = [](const placement_rank& it)
+        {
+            return std::tuple(it.priority, it.late, it.first_token_due_at,
+                              it.request);
+        };
+        return key(*this) < key(other);
+    }
+};
+
 /// Queue of requests for which no endpoint has a free slot. Under overload,
 /// requests that can still be in time go first, and those that can't be served
-/// before their deadline are refused at once.
+/// before their deadline are refused at once. Times that are passed in must not
+/// decrease.
 class placement_queue
 {
 public:
-    void add(placement_queue_entry entry);
+    void add(const placement_queue_entry& entry);
     void remove(std::uint64_t request);
     std::size_t size() const { return entries_.size(); }
     bool empty() const { return entries_.empty(); }
 
+    /// Moves the requests that have become late behind those that can be in
+    /// time.
+    void advance(msec now);
+    /// The first request at or after this position, and the first one after it.
+    std::optional<placement_rank> at_or_after(const placement_rank& it) const;
+    std::optional<placement_rank> after(const placement_rank& it) const;
+    std::optional<placement_rank> first() const;
+
     /// Requests in the order in which they should be placed: by priority, those
     /// that can be in time before late ones, then earliest due first.
-    std::vector<std::uint64_t> ordered(msec now) const;
-    /// Requests that should be refused now.
-    std::vector<std::uint64_t> unservable(msec now) const;
+    std::vector<std::uint64_t> ordered(msec now);
+    /// Requests that should be refused now, at most `most`.
+    std::vector<std::uint64_t> unservable(msec now,
+                                          std::size_t most = SIZE_MAX) const;
 
     /// Largest share of the time to the deadline that a request waits. A
     /// refused client retries within a third of the time it has left.
     static constexpr double max_wait_share = 0.5;
 
 private:
-    std::vector<placement_queue_entry> entries_;
+    struct waiting_entry
+    {
+        placement_rank rank{};
+        msec late_at = 0;
+        msec unservable_at = 0;
+    };
+
+    /// Times at which something happens to requests.
+    using schedule = std::set<std::pair<msec, std::uint64_t>>;
+
+    std::unordered_map<std::uint64_t, waiting_entry> entries_;
+    std::set<placement_rank> order_;
+    /// Only the requests that aren't late yet.
+    schedule late_at_;
+    schedule unservable_at_;
 };
 
 } // namespace galenapulley
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -217,6 +217,19 @@
     return list;
 }
 
+bool dispatcher::is_distributed(const engine_profile& engine,
+                                const dispatch_request& item)
+{
+    return item.prompt_tokens + item.output_tokens > engine.memory_tokens;
+}
+
+bool dispatcher::is_split(const engine_profile& engine,
+                          const dispatch_request& item)
+{
+    return is_distributed(engine, item) ||
+           engine.prefill_ms(item.prompt_tokens) > split_threshold_ms;
+}
+
 std::optional<placement_choice>
 dispatcher::choose(const dispatch_request& item,
                    const candidate_list& list) const
@@ -225,11 +238,8 @@
     if (engine == nullptr)
         return place_plain(list.load);
     const auto now = clock_.now();
-    const bool above_one_engine =
-        item.prompt_tokens + item.output_tokens > engine->memory_tokens;
-    const bool split =
-        above_one_engine ||
-        engine->prefill_ms(item.prompt_tokens) > split_threshold_ms;
+    const bool above_one_engine = is_distributed(*engine, item);
+    const bool split = is_split(*engine, item);
     const placement_request request{
         .prompt_tokens = item.prompt_tokens,
         .output_tokens = item.output_tokens,
@@ -244,22 +254,6 @@
     return place_prompt(*engine, request, list.load);
 }
 
-bool dispatcher::try_place(const dispatch_request& item,
-                           const result_callback& done)
-{
-    if (auto to = choose_peer(item))
-    {
-        hand_over(item, *std::move(to), done);
-        return true;
-    }
-    const auto list = candidates(item);
-    const auto choice = choose(item, list);
-    if (!choice)
-        return false;
-    grant(item, list, *choice, done);
-    return true;
-}
-
 void dispatcher::grant(const dispatch_request& item, const candidate_list& list,
                        const placement_choice& choice,
                        const result_callback& done)
@@ -344,49 +338,4 @@
     done(std::move(refusal));
 }
 
-void dispatcher::cancel(std::uint64_t id)
-{
-    if (waiting_.erase(id) > 0)
-        queue_.remove(id);
-}
-
-void dispatcher::refuse_waiting(std::uint64_t id, dispatch_refusal refusal)
-{
-    const auto it = waiting_.find(id);
-    const auto entry = std::move(it->second);
-    waiting_.erase(it);
-    queue_.remove(id);
-    refuse(entry.item, std::move(refusal), entry.done);
-}
-
-void dispatcher::place_waiting()
-{
-    for (const auto id : queue_.ordered(clock_.now()))
-    {
-        const auto it = waiting_.find(id);
-        if (it == waiting_.end())
-            continue;
-        if (auto refusal = early_refusal(it->second.item))
-        {
-            refuse_waiting(id, *std::move(refusal));
-            continue;
-        }
-        if (!try_place(it->second.item, it->second.done))
-            continue;
-        queue_.remove(id);
-        waiting_.erase(id);
-    }
-}
-
-void dispatcher::tick()
-{
-    if (queue_.empty())
-        return;
-    place_waiting();
-    for (const auto id : queue_.unservable(clock_.now()))
-        refuse_waiting(id, {.kind = error_kind::overloaded,
-                            .reason = "no endpoint became free in time",
-                            .retry_after = retry_after_full});
-}
-
 } // namespace galenapulley
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "galenapulley/handover_targets.hpp"
 #include "galenapulley/partition_detector.hpp"
 #include "galenapulley/placement_queue.hpp"
+#include "galenapulley/placement_turn.hpp"
 #include "galenapulley/prompt_placement.hpp"
 #include "galenapulley/prompt_quarantine.hpp"
 #include "galenapulley/rate_meter.hpp"
@@ -47,6 +48,18 @@
     bool endpoint_estimates = false;
 };
 
+/// Work that placing waiting requests has taken since the process started.
+struct placement_work
+{
+    /// Longest turn and most attempts in a turn.
+    msec longest_ms = 0;
+    std::size_t most_attempts = 0;
+    /// Attempts in all turns.
+    std::uint64_t attempts = 0;
+    /// Turns that left requests to a later one.
+    std::uint64_t unfinished_turns = 0;
+};
+
 /// Places requests on endpoints, queues them until one is free, or refuses
 /// them, and announces its placements to the other nodes. Used on the control
 /// thread.
@@ -80,6 +93,9 @@
     /// The callback is invoked when a request begins to wait and tick() has to
     /// be called periodically.
     void set_wake(std::function<void()> fn) { wake_ = std::move(fn); }
+    /// The callback is invoked when continue_placing() has to be called in the
+    /// next iteration of the event loop.
+    void set_continue(std::function<void()> fn) { continue_ = std::move(fn); }
 
     void request(dispatch_request item, result_callback done);
     /// Removes a waiting request whose client has disconnected or whose
@@ -102,6 +118,8 @@
     /// Retries the placement of waiting requests and refuses those that can no
     /// longer be served in time.
     void tick();
+    /// Continues to place waiting requests where the last turn ended.
+    void continue_placing();
     /// While this node is partitioned from the endpoints, checks whether it
     /// still is.
     void probe_endpoints();
@@ -142,6 +160,7 @@
     /// May be used by other threads.
     endpoint_announcements& announcements() { return announcements_; }
     const fleet_load& load() const { return load_; }
+    const placement_work& placing() const { return placing_; }
     std::size_t waiting() const { return queue_.size(); }
     std::size_t running() const { return running_.size(); }
 
@@ -179,6 +198,18 @@
     bool may_use(const dispatch_request& item, const known_endpoint& it,
                  const endpoint_load& load) const;
     bool try_place(const dispatch_request& item, const result_callback& done);
+    /// Reports to the turn what room a failed attempt has found.
+    bool try_place(const dispatch_request& item, const result_callback& done,
+                   const placement_need& need, placement_turn& turn);
+    /// Whether its memory has to be distributed over several endpoints.
+    static bool is_distributed(const engine_profile& engine,
+                               const dispatch_request& item);
+    /// Whether several endpoints may prefill it.
+    static bool is_split(const engine_profile& engine,
+                         const dispatch_request& item);
+    static placement_need need_of(const dispatch_request& item);
+    static std::optional<double> room_for(const dispatch_request& item,
+                                          const candidate_list& list);
     std::optional<placement_choice> choose(const dispatch_request& item,
                                            const candidate_list& list) const;
     void grant(const dispatch_request& item, const candidate_list& list,
@@ -217,7 +248,22 @@
     void on_partition_change(partition_detector::change change);
     /// Adds what this node knows of its links to the endpoints.
     void announce(wire::work_update update);
+    /// Tries the waiting requests in their order, as far as the limits of a
+    /// turn allow; continue_placing() and tick() try the rest.
     void place_waiting();
+    struct turn_result
+    {
+        bool placed = false;
+        /// The first request that the turn left to a later one.
+        std::optional<placement_rank> left{};
+    };
+
+    turn_result run_turn(std::optional<placement_rank> from);
+    void continue_after(const turn_result& turn);
+    void count_turn(const placement_turn& turn, msec elapsed,
+                    bool is_unfinished);
+    bool place(std::uint64_t id, const placement_need& need,
+               placement_turn& turn);
     void record_failure(const running_request& work,
                         const attempt_result& result);
     /// The endpoint that caused the end of the attempt.
@@ -256,6 +302,8 @@
     prompts_callback announce_prompts_;
     std::function<void()> wake_ = [] {
     };
+    std::function<void()> continue_ = [] {
+    };
     rate_meter rate_;
     /// When each node last announced work.
     std::map<std::string, msec> heard_at_;
@@ -269,6 +317,11 @@
     fleet_load load_;
     rate_share rate_share_;
     placement_queue queue_;
+    /// Where a turn continues in the next iteration of the event loop.
+    std::optional<placement_rank> continue_at_;
+    /// Where the next tick tries requests that the turns before did not reach.
+    std::optional<placement_rank> sweep_at_;
+    placement_work placing_;
     crash_registry crashes_;
     prompt_quarantine quarantine_;
     /// The quarantined parts that the log has last named.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -132,6 +132,8 @@
             wake();
         });
     dispatcher_.set_wake([this] { wake(); });
+    dispatcher_.set_continue(
+        [this] { loop_.post([this] { dispatcher_.continue_placing(); }); });
     dispatcher_.set_probe(
         [this](endpoint_key key, const std::string& address)
         {
@@ -373,6 +375,12 @@
                  static_cast<std::int64_t>(traffic.bytes_sent));
     metrics_.set(gauge::waiting_requests,
                  static_cast<std::int64_t>(dispatcher_.waiting()));
+    const auto& placing = dispatcher_.placing();
+    metrics_.set(gauge::placement_longest_ms, placing.longest_ms);
+    metrics_.set(gauge::placement_most_attempts,
+                 static_cast<std::int64_t>(placing.most_attempts));
+    metrics_.set(gauge::placement_unfinished_turns,
+                 static_cast<std::int64_t>(placing.unfinished_turns));
     metrics_.set(gauge::running_requests,
                  static_cast<std::int64_t>(dispatcher_.running()));
     metrics_.set(gauge::log_lines_dropped,
--- a/tests/unit/placement_queue_test.cpp
+++ b/tests/unit/placement_queue_test.cpp
@@ -1,6 +1,11 @@
 #include "galenapulley/placement_queue.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
 
 using namespace galenapulley;
 
@@ -56,3 +61,47 @@
     BOOST_TEST(queue.unservable(4999).empty());
     BOOST_TEST(queue.unservable(5000).size() == 1U);
 }
+
+// Guards against an order, kept up to date from event to event, that differs
+// from sorting all waiting requests at each event.
+RC_BOOST_PROP(the_order_equals_a_sort_of_all_requests, ())
+{
+    placement_queue queue;
+    std::vector<placement_queue_entry> kept;
+    msec now = 0;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int n = 0; n < steps; ++n)
+    {
+        now += *rc::gen::inRange<msec>(0, 60);
+        if (!kept.empty() && *rc::gen::inRange(0, 3) == 0)
+        {
+            queue.remove(kept.front().request);
+            kept.erase(kept.begin());
+        }
+        auto added = entry(static_cast<std::uint64_t>(n),
+                           now + *rc::gen::inRange<msec>(0, 500),
+                           now + *rc::gen::inRange<msec>(100, 2000),
+                           *rc::gen::inRange(0, 3));
+        added.received_at = now;
+        added.min_service_time = *rc::gen::inRange<msec>(0, 300);
+        queue.add(added);
+        kept.push_back(added);
+        const auto rank = [now](const placement_queue_entry& it)
+        {
+            return std::tuple(it.priority,
+                              now + it.min_service_time > it.first_token_due_at,
+                              it.first_token_due_at, it.request);
+        };
+        auto sorted = kept;
+        std::sort(sorted.begin(), sorted.end(),
+                  [&](const auto& a, const auto& b)
+                  { return rank(a) < rank(b); });
+        std::vector<std::uint64_t> expected;
+        expected.reserve(sorted.size());
+        for (const auto& it : sorted)
+            expected.push_back(it.request);
+        RC_ASSERT(queue.ordered(now) == expected);
+        for (const auto id : queue.unservable(now))
+            RC_ASSERT(std::count(expected.begin(), expected.end(), id) == 1);
+    }
+}
