Gateway: requests are read from bytes that no pending read can change

Cause: a read into the buffer of a client's connection was pending while parsed bytes were consumed from it. Once the buffer was empty its positions moved, the next bytes landed at the old place, and the request parsed before was parsed and run again in place of the next one. Beast also accepts other transfer codings than chunked and adds trailer fields to the headers.

Change: client_connection only waits until the socket is readable, reads into a buffer of the traffic thread and feeds request_reader, which owns all bytes that no request has taken. Heads are searched once and parsed once. Unknown transfer codings get 400 and close, trailer fields are dropped, empty lines before a request are ignored up to a limit, and bodies count by the memory that they take. An idle connection holds no buffer.

--- /dev/null
+++ b/src/gateway/chunked_body.cpp
@@ -0,0 +1,121 @@
+#include "gateway/chunked_body.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace galenapulley
+{
+
+namespace
+{
+
+constexpr int hexadecimal = 16;
+
+/// Whether the text has no control characters but tabs.
+bool is_field_text(std::string_view text)
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char deleted = 0x7f;
+    return std::all_of(text.begin(), text.end(),
+                       [](char c)
+                       {
+                           const auto it = static_cast<unsigned char>(c);
+                           return c == '\t' ||
+                                  (it >= first_printable && it != deleted);
+                       });
+}
+
+} // namespace
+
+bool chunked_body::read_line(std::string_view& bytes, std::size_t limit)
+{
+    const auto at = bytes.find('\n');
+    const auto part = bytes.substr(0, at == bytes.npos ? at : at + 1);
+    if (line_.size() + part.size() > limit)
+    {
+        state_ = state::too_long;
+        return false;
+    }
+    line_ += part;
+    bytes.remove_prefix(part.size());
+    if (at == bytes.npos)
+        return false;
+    if (!line_.ends_with("\r\n"))
+    {
+        state_ = state::malformed;
+        return false;
+    }
+    line_.resize(line_.size() - 2);
+    if (!is_field_text(line_))
+        state_ = state::malformed;
+    return state_ != state::malformed;
+}
+
+void chunked_body::on_size_line()
+{
+    const char* const end = line_.data() + line_.size();
+    const auto parsed =
+        std::from_chars(line_.data(), end, chunk_left_, hexadecimal);
+    const std::string_view rest(parsed.ptr,
+                                static_cast<std::size_t>(end - parsed.ptr));
+    const auto extension = rest.find_first_not_of(" \t");
+    const bool valid =
+        parsed.ec == std::errc() &&
+        (rest.empty() || (extension != rest.npos && rest[extension] == ';'));
+    line_.clear();
+    state_ = !valid             ? state::malformed
+             : chunk_left_ == 0 ? state::trailer
+                                : state::data;
+}
+
+void chunked_body::on_trailer_line()
+{
+    if (line_.empty())
+        state_ = state::complete;
+    else if (line_.find(':') == line_.npos)
+        state_ = state::malformed;
+    constexpr std::size_t line_end = 2;
+    trailer_left_ -= line_.size() + line_end;
+    line_.clear();
+}
+
+chunked_body::state chunked_body::advance(std::string_view& bytes)
+{
+    while (!bytes.empty())
+    {
+        if (state_ == state::size_line)
+        {
+            if (read_line(bytes, max_size_line))
+                on_size_line();
+        }
+        else if (state_ == state::data_end)
+        {
+            if (read_line(bytes, 2))
+                state_ = state::size_line;
+            else if (state_ == state::too_long)
+                state_ = state::malformed;
+        }
+        else if (state_ == state::trailer)
+        {
+            if (read_line(bytes, trailer_left_))
+                on_trailer_line();
+        }
+        else
+            break;
+    }
+    return state_;
+}
+
+std::string_view chunked_body::take_data(std::string_view& bytes)
+{
+    const auto n = static_cast<std::size_t>(
+        std::min<std::uint64_t>(bytes.size(), chunk_left_));
+    const auto out = bytes.substr(0, n);
+    bytes.remove_prefix(n);
+    chunk_left_ -= n;
+    if (chunk_left_ == 0)
+        state_ = state::data_end;
+    return out;
+}
+
+} // namespace galenapulley
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -8,15 +8,12 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_to_string.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -34,25 +31,6 @@
 
 /// HTTP/1.1, as Boost.Beast numbers it.
 constexpr unsigned chunked_since_version = 11;
-constexpr std::size_t read_bytes = std::size_t{16} * 1024;
-/// Limit of the input buffer while a request is served (pipelining).
-constexpr std::size_t max_pipelined_bytes = std::size_t{256} * 1024;
-/// Time for a body to arrive after its head.
-constexpr msec body_timeout = 10'000;
-std::chrono::milliseconds duration(msec n)
-{
-    return std::chrono::milliseconds(std::max(n, 0_ms));
-}
-
-error_kind kind_of_parse_error(const boost::system::error_code& ec)
-{
-    if (ec == http::error::header_limit)
-        return error_kind::headers_too_large;
-    if (ec == http::error::body_limit)
-        return error_kind::body_too_large;
-    return error_kind::bad_request;
-}
-
 // g++ 12 destroys the elements of initializer lists in coroutines twice, so
 // header lists are built in functions that are not coroutines.
 
@@ -81,9 +59,15 @@
 client_connection::client_connection(traffic_state& state,
                                      asio::ip::tcp::socket socket,
                                      listener_role role)
-    : state_(state), socket_(std::move(socket)), wake_(state.io), role_(role)
+    : state_(state)
+    , socket_(std::move(socket))
+    , wake_(state.io)
+    , reader_(state.body_memory)
+    , role_(role)
 {
     ++state_.open_connections;
+    boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
     set_options(socket_);
 }
 
@@ -115,7 +99,7 @@
 
 void client_connection::close_if_idle()
 {
-    if (!serving_ && in_.size() == 0)
+    if (!serving_ && reader_.is_idle())
         abort();
 }
 
@@ -133,154 +117,6 @@
     wake_.cancel();
 }
 
-void client_connection::start_reading()
-{
-    if (reading_ || disconnected_ || in_.size() >= max_pipelined_bytes)
-        return;
-    reading_ = true;
-    socket_.async_read_some(
-        in_.prepare(read_bytes),
-        [self = shared_from_this()](const boost::system::error_code& ec,
-                                    std::size_t n) { self->on_read(ec, n); });
-}
-
-void client_connection::on_read(const boost::system::error_code& ec,
-                                std::size_t n)
-{
-    reading_ = false;
-    in_.commit(n);
-    if (ec)
-    {
-        disconnected_ = true;
-        if (forwarded_ != nullptr)
-            forwarded_->on_client_gone();
-    }
-    else if (serving_)
-        start_reading();
-    wake_.cancel();
-}
-
-asio::awaitable<bool> client_connection::wait_for_bytes(msec limit)
-{
-    start_reading();
-    boost::system::error_code ec;
-    wake_.expires_after(duration(limit));
-    co_await wake_.async_wait(redirect_error(use_awaitable, ec));
-    co_return ec == asio::error::operation_aborted;
-}
-
-client_limits client_connection::limits() const
-{
-    return state_.routing ? state_.routing->limits() : client_limits{};
-}
-
-asio::awaitable<std::optional<client_request>> client_connection::read_request()
-{
-    const auto idle_end = state_.time.now() + limits().idle_timeout;
-    while (in_.size() == 0)
-    {
-        const auto left = idle_end - state_.time.now();
-        // While the node stops, a new connection is still served one request.
-        if (disconnected_ || (state_.stopping && served_) || left <= 0)
-            co_return std::nullopt;
-        co_await wait_for_bytes(left);
-    }
-    const auto received_at = state_.time.now();
-    request_parser parser;
-    parser.eager(true);
-    parser.header_limit(static_cast<std::uint32_t>(limits().header_bytes));
-    parser.body_limit(limits().body_bytes);
-    memory_share held(state_.body_memory);
-    if (!co_await read_message(parser, held))
-        co_return std::nullopt;
-    auto out = take_request(parser, received_at);
-    out.body_memory = std::move(held);
-    co_return out;
-}
-
-asio::awaitable<bool> client_connection::read_message(request_parser& parser,
-                                                      memory_share& body_memory)
-{
-    auto time_limit = state_.time.now() + limits().header_timeout;
-    bool had_header = false;
-    while (!parser.is_done())
-    {
-        boost::system::error_code ec;
-        const auto used = parser.put(in_.data(), ec);
-        in_.consume(used);
-        if (ec && ec != http::error::need_more)
-        {
-            co_await reject(ec);
-            co_return false;
-        }
-        if (!body_memory.resize(parser.get().body().size()))
-        {
-            co_await refuse_body();
-            co_return false;
-        }
-        if (parser.is_done())
-            break;
-        if (parser.is_header_done() && !had_header)
-        {
-            had_header = true;
-            time_limit = state_.time.now() + body_timeout;
-            const auto expect = parser.get()[http::field::expect];
-            std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-            if (beast::iequals(expect, "100-continue") &&
-                !co_await write(std::move(interim)))
-                co_return false;
-        }
-        if (disconnected_)
-            co_return false;
-        const auto left = time_limit - state_.time.now();
-        if (left <= 0)
-        {
-            co_await refuse(error_kind::request_timeout,
-                            "the request did not arrive in time", 0, false);
-            co_return false;
-        }
-        // The buffered bytes are an incomplete element; the parser needs more.
-        co_await wait_for_bytes(left);
-    }
-    co_return true;
-}
-
-asio::awaitable<void> client_connection::refuse_body()
-{
-    constexpr auto kind = error_kind::overloaded;
-    constexpr std::string_view reason = "no memory for the request's body";
-    log_refusal(kind, reason);
-    co_await refuse(kind, std::string(reason),
-                    error_response_for(kind).retry_after, false);
-}
-
-asio::awaitable<void>
-client_connection::reject(const boost::system::error_code& ec)
-{
-    co_await refuse(kind_of_parse_error(ec), ec.message(), 0, false);
-}
-
-client_request client_connection::take_request(request_parser& parser,
-                                               msec received_at) const
-{
-    auto& message = parser.get();
-    client_request out;
-    out.method = std::string(message.method_string());
-    out.target = std::string(message.target());
-    out.received_at = received_at;
-    out.http_version = message.version();
-    out.keep_alive = message.keep_alive();
-    for (const auto& it : message)
-    {
-        if (it.name() == http::field::host)
-            out.host = std::string(it.value());
-        out.headers.emplace_back(std::string(it.name_string()),
-                                 std::string(it.value()));
-    }
-    out.body = std::move(message.body());
-    return out;
-}
-
 bool client_connection::closes_after(const client_request& request) const
 {
     return !request.keep_alive || state_.stopping;
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -3,14 +3,12 @@
 #include "galenapulley/byte_chain.hpp"
 #include "galenapulley/error_kind.hpp"
 #include "gateway/client_request.hpp"
+#include "gateway/request_reader.hpp"
 #include "gateway/traffic_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -32,7 +30,7 @@
 };
 
 /// An HTTP connection of a client. Requests are served one at a time;
-/// pipelined requests wait in the input buffer.
+/// pipelined requests wait in the reader.
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
@@ -62,24 +60,23 @@
     bool closes_after(const client_request& request) const;
 
 private:
-    using request_parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
-
-    /// Starts a read unless one is pending. Reading goes on while a request is
-    /// served, which detects that the client disconnects.
+    /// Waits until the client has sent something, unless that is awaited
+    /// already. This goes on while a request is served, which detects that the
+    /// client disconnects.
     void start_reading();
-    void on_read(const boost::system::error_code& ec, std::size_t n);
+    void on_readable(boost::system::error_code ec);
     /// Waits for more bytes; false on timeout.
     boost::asio::awaitable<bool> wait_for_bytes(msec limit);
+    /// Waits for the first byte of a request; false if there will be none.
+    boost::asio::awaitable<bool> wait_for_request();
     boost::asio::awaitable<std::optional<client_request>> read_request();
-    /// `body_memory` grows with the body.
-    boost::asio::awaitable<bool> read_message(request_parser& parser,
-                                              memory_share& body_memory);
-    /// Refuses a request whose body doesn't fit the memory for bodies.
-    boost::asio::awaitable<void> refuse_body();
-    boost::asio::awaitable<void> reject(const boost::system::error_code& ec);
-    client_request take_request(request_parser& parser, msec received_at) const;
+    /// Reads the rest of a request; false if it was refused or will not come.
+    boost::asio::awaitable<bool> read_message();
+    /// Refuses a request that can't be read.
+    boost::asio::awaitable<void> reject();
+    boost::asio::awaitable<void> refuse_late();
     client_limits limits() const;
+    read_state read_buffered();
 
     boost::asio::awaitable<bool> serve_request(client_request request);
     boost::asio::awaitable<bool> serve_traffic(client_request request);
@@ -94,7 +91,7 @@
     traffic_state& state_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer wake_;
-    boost::beast::flat_buffer in_;
+    request_reader reader_;
     listener_role role_;
     bool reading_ = false;
     bool disconnected_ = false;
--- a/src/gateway/traffic_state.hpp
+++ b/src/gateway/traffic_state.hpp
@@ -14,6 +14,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -52,6 +53,8 @@
     memory_budget body_memory;
     std::size_t open_connections = 0;
     std::size_t open_requests = 0;
+    /// Where bytes of a client arrive; its connection takes them at once.
+    std::array<char, std::size_t{16} * 1024> landing{};
 };
 
 } // namespace galenapulley
--- a/tests/gateway/one_gateway.hpp
+++ b/tests/gateway/one_gateway.hpp
@@ -16,11 +16,13 @@
     std::unique_ptr<gateway_process> gateway;
 
     explicit one_gateway(
-        const std::string& configuration = sample_configuration(1))
+        const std::string& configuration = sample_configuration(1),
+        const std::string& more_settings = "{}")
     {
         store.put("op", "config", configuration);
         gateway = std::make_unique<gateway_process>(
-            "n1", "east", store.address(), std::vector<std::string>{});
+            "n1", "east", store.address(), std::vector<std::string>{},
+            more_settings);
         BOOST_TEST_REQUIRE(gateway->wait_until_ready());
     }
 
--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -52,9 +52,11 @@
 class gateway_process
 {
 public:
+    /// `more_settings`: a JSON object of settings beside the addresses.
     gateway_process(const std::string& name, const std::string& zone,
                     const std::string& store_address,
-                    const std::vector<std::string>& seeds);
+                    const std::vector<std::string>& seeds,
+                    const std::string& more_settings = "{}");
 
     /// Waits until the readiness check succeeds.
     bool wait_until_ready(msec limit = 15'000);
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <iterator>
 #include <poll.h>
 #include <stdexcept>
 #include <sys/file.h>
@@ -113,6 +114,15 @@
     return 0;
 }
 
+std::size_t child_process::descriptors() const
+{
+    boost::system::error_code ec;
+    const boost::filesystem::directory_iterator all(
+        "/proc/" + std::to_string(state_->child.id()) + "/fd", ec);
+    return static_cast<std::size_t>(
+        std::distance(all, boost::filesystem::directory_iterator()));
+}
+
 int child_process::wait(msec timeout)
 {
     const boot_time_clock time;
