Gateway, node: responses that end during the upload are incomplete

Cause: a response without a length ends with its connection. Statuses 600 to 999 were relayed to clients. Change: the end of a connection completes such a response only if the whole request was written without an error; a status outside 200 to 599 is an invalid response at endpoints, peers and resumed streams, and a broken one in the node's client.

--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -26,6 +26,8 @@
 {
 
 constexpr std::uint32_t max_head_bytes = 32 * 1024;
+constexpr unsigned min_status = 200;
+constexpr unsigned max_status = 599;
 constexpr std::size_t read_bytes = std::size_t{8} * 1024;
 
 /// Whether the parser has rejected the bytes, and not the connection ended.
@@ -130,8 +132,11 @@
     // Not awaited: an endpoint may respond before it has read a long body.
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](
-                          const boost::system::error_code&, std::size_t)
-                      { self->out_ = std::string(); });
+                          const boost::system::error_code& ec, std::size_t)
+                      {
+                          self->out_ = std::string();
+                          self->request_sent_ = !ec;
+                      });
     start_timer(limit);
     parser_->skip(head_only);
     boost::system::error_code ec;
@@ -139,10 +144,12 @@
                                      redirect_error(use_awaitable, ec));
     timer_.cancel();
     const auto result = result_of(ec);
+    if (result != connection_result::done)
+        co_return result;
     // The request doesn't ask for an interim (1xx) response.
-    if (result == connection_result::done && parser_->get().result_int() < 200)
-        co_return connection_result::invalid;
-    co_return result;
+    const auto code = parser_->get().result_int();
+    co_return code<min_status || code> max_status ? connection_result::invalid
+                                                  : connection_result::done;
 }
 
 asio::awaitable<connection_result>
@@ -163,7 +170,14 @@
     out.append(buf.data(), buf.size() - body.size);
     if (ec == http::error::need_buffer)
         ec = {};
-    co_return result_of(ec);
+    const auto result = result_of(ec);
+    // The kernel reports a reset once, and the pending write may get it; the
+    // read then sees an ordinary end. An endpoint that ends the connection
+    // before it has the request may have been reset as well.
+    const bool ends_here = parser_->is_done() && parser_->need_eof();
+    co_return result == connection_result::done&& ends_here && !request_sent_
+        ? connection_result::broken
+        : result;
 }
 
 int endpoint_connection::status() const
--- a/src/gateway/endpoint_connection.hpp
+++ b/src/gateway/endpoint_connection.hpp
@@ -50,7 +50,9 @@
     /// before the whole request is sent.
     boost::asio::awaitable<connection_result>
     exchange_head(std::string request, bool head_only, msec limit);
-    /// Appends the next bytes of the body to `out`, or none at its end.
+    /// Appends the next bytes of the body to `out`, or none at its end. The end
+    /// of the connection completes a body without a length only if the whole
+    /// request was sent.
     boost::asio::awaitable<connection_result> read_some(std::string& out,
                                                         msec limit);
     bool body_complete() const { return parser_->is_done(); }
@@ -85,6 +87,8 @@
     std::unique_ptr<parser> parser_;
     std::string out_;
     bool sent_ = false;
+    /// The whole request was written without an error.
+    bool request_sent_ = false;
     bool expired_ = false;
     bool cancelled_ = false;
 };
--- a/src/node/http_transfer.cpp
+++ b/src/node/http_transfer.cpp
@@ -15,6 +15,10 @@
 {
 
 constexpr long max_connection_age_seconds = 15;
+constexpr long min_status = 200;
+constexpr long max_status = 599;
+constexpr long status_no_content = 204;
+constexpr long status_not_modified = 304;
 
 std::string trimmed(const std::string& text)
 {
@@ -152,16 +156,36 @@
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
 }
 
+bool http_transfer::ended_during_upload(long status) const
+{
+    const bool has_end = result_.headers.contains("content-length") ||
+                         result_.headers.contains("transfer-encoding") ||
+                         call_.method == "HEAD" ||
+                         status == status_no_content ||
+                         status == status_not_modified;
+    if (has_end)
+        return false;
+    curl_off_t sent = 0;
+    curl_easy_getinfo(handle_.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+    return sent < static_cast<curl_off_t>(call_.body.size());
+}
+
 transfer_error http_transfer::outcome(CURLcode code)
 {
     if (code == CURLE_OK)
     {
-        // libcurl also accepts a response that ends within its headers.
+        // libcurl also accepts a response that ends within its headers, and
+        // any status of three digits.
         long status = 0;
         curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
-        if (headers_complete_ && status >= 200)
+        if (!headers_complete_ || status < min_status)
+            result_.error_text = "the response ended within its headers";
+        else if (status > max_status)
+            result_.error_text = "the response has no valid status";
+        else if (ended_during_upload(status))
+            result_.error_text = "the response ended during the upload";
+        else
             return transfer_error::none;
-        result_.error_text = "the response ended within its headers";
         return transfer_error::broken;
     }
     // libcurl doesn't fill the buffer for every error.
--- a/src/node/http_transfer.hpp
+++ b/src/node/http_transfer.hpp
@@ -47,6 +47,9 @@
     void set_headers();
     void set_limits();
     void set_callbacks();
+    /// Whether the response ended with the connection, but before the whole
+    /// request was sent.
+    bool ended_during_upload(long status) const;
     void parse_header_line(std::string line);
 
     static std::size_t on_body(char* data, std::size_t size, std::size_t count,
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -79,6 +79,69 @@
                 transfer_error::none));
 }
 
+// Guards against a status that is none and that callers would relay. libcurl
+// accepts every status of three digits.
+BOOST_AUTO_TEST_CASE(invalid_statuses_are_broken)
+{
+    for (const auto* it :
+         {"000", "099", "100", "600", "999", "20", "2000", "2x0", "-20"})
+        BOOST_TEST(
+            (error_after(raw::response("body", std::string(it) + " X")) ==
+             transfer_error::broken),
+            it);
+    BOOST_TEST(
+        (error_after(raw::response("body", "599 X")) == transfer_error::none));
+}
+
+// Guards against a truncated body that is reported as complete because the
+// peer ended the connection while the request was still being sent.
+BOOST_AUTO_TEST_CASE(end_during_the_upload_is_broken)
+{
+    constexpr std::size_t long_upload = std::size_t{8} << 20;
+    for (const bool half_closes : {false, true})
+    {
+        const raw::server server(
+            [half_closes](const raw::socket& peer)
+            {
+                constexpr std::chrono::milliseconds delivery_time(200);
+                peer.receive();
+                peer.send("HTTP/1.1 200 OK\r\n\r\npart");
+                std::this_thread::sleep_for(delivery_time);
+                if (half_closes)
+                {
+                    ::shutdown(peer.fd(), SHUT_WR);
+                    std::this_thread::sleep_for(delivery_time);
+                }
+                const linger reset{.l_onoff = 1, .l_linger = 0};
+                ::setsockopt(peer.fd(), SOL_SOCKET, SO_LINGER, &reset,
+                             sizeof reset);
+            });
+        http_client client;
+        const auto result =
+            result_of(client, {.method = "POST",
+                               .url = server.url(),
+                               .body = std::string(long_upload, 'b')});
+        BOOST_TEST((result.error == transfer_error::broken), half_closes);
+    }
+}
+
+// A response that ends with the connection is complete once the whole request
+// was sent.
+BOOST_AUTO_TEST_CASE(end_after_the_upload_completes_a_response)
+{
+    const raw::responder server({"HTTP/1.1 200 OK\r\n\r\nwhole"});
+    http_client client;
+    for (const std::size_t bytes : {0, 1, 100'000})
+    {
+        const auto result =
+            result_of(client, {.method = "POST",
+                               .url = "http://" + server.address(),
+                               .body = std::string(bytes, 'b')});
+        BOOST_TEST((result.error == transfer_error::none), bytes);
+        BOOST_TEST(result.body == "whole");
+    }
+}
+
 // Guards against "not connected" results for calls that the peer may have
 // received, and against other results for calls that never reached it.
 BOOST_AUTO_TEST_CASE(distinguishes_unsent_calls)
