Endpoints: estimates of speed and reliability from results

Cause: all endpoints of a service count as equally fast and reliable, so one that accepts requests and fails nearly half of them, flaps, or is slow keeps its share of the work. Change: endpoint_estimates, a pure class, weighs the results of attempts by age and ejects endpoints above a failure rate, relative to the service's median, until trials succeed; the dispatcher leaves ejected endpoints out and expects slow ones to be slow; nodes share their estimates; ctl endpoints, two log events and a gauge show them.

--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -71,6 +71,10 @@
     verb{"gateway", "",
          "Show the state of a gateway; --node is its metrics address.",
          &ctl_session::show_gateway},
+    verb{"endpoints", "",
+         "Show a gateway's estimates of endpoints; --node is its metrics "
+         "address.",
+         &ctl_session::show_endpoints},
     verb{"nodes", "", "List the nodes that callers may use.",
          &ctl_session::list_nodes},
 };
--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -148,8 +148,9 @@
     {
         const double longest =
             engine_.max_prefill_in_pass_ms(prefill_ms_, request_.prompt_tokens);
-        return engine_.pass_ms(it.load.running + 1, it.load.context_tokens) +
-               std::min(backlog_ms, std::max(longest, it.load.backlog_ms));
+        return it.slowdown *
+               (engine_.pass_ms(it.load.running + 1, it.load.context_tokens) +
+                std::min(backlog_ms, std::max(longest, it.load.backlog_ms)));
     }
 
     /// Value that a decoding request loses by token gaps of this length.
@@ -184,8 +185,9 @@
         // Engines prefill segments of split prompts before anything queued.
         if (segments > 1)
             for (const auto& p : it.load.pending_prefills)
-                cost += prefill_cost(p, p.finish_ms + segment_ms) -
-                        prefill_cost(p, p.finish_ms);
+                cost +=
+                    prefill_cost(p, it.slowdown * (p.finish_ms + segment_ms)) -
+                    prefill_cost(p, it.slowdown * p.finish_ms);
         return cost;
     }
 
@@ -199,7 +201,7 @@
                    (1 - packing_limit);
         // Only prompts whose prefill fits into a short pass are packed.
         if (request_.token_gap_ms <= 0 ||
-            prefill_ms_ > request_.token_gap_ms / 2)
+            it.slowdown * prefill_ms_ > request_.token_gap_ms / 2)
             return 0;
         return packing_weight * it.load.running / slots;
     }
@@ -212,7 +214,7 @@
         {
             const auto& it = candidates_[n];
             const double own =
-                own_cost(first_token_ms(it, it.load.backlog_ms, segment_ms));
+                own_cost(first_token_ms(it, prefill_end_ms(it, segment_ms)));
             const double cost_to_others =
                 added_prefill_cost(it, segment_ms, segments);
             out.push_back({.index = n,
@@ -236,12 +238,10 @@
                          [](const scored_candidate& it) { return it.can_run; });
         if (primary == sorted.end())
             return with_distributed_kv(sorted, segments);
-        const auto& first = candidates_[primary->index];
         placement_choice out{.chosen = {primary->index},
                              .segment_ms =
                                  prefill_ms_ / static_cast<double>(segments)};
         double cost_to_others = primary->cost_to_others;
-        double backlog_ms = first.load.backlog_ms;
         for (const auto& it : sorted)
         {
             if (out.chosen.size() == segments)
@@ -250,10 +250,8 @@
                 continue;
             out.chosen.push_back(it.index);
             cost_to_others += it.cost_to_others;
-            backlog_ms =
-                std::max(backlog_ms, candidates_[it.index].load.backlog_ms);
         }
-        set_estimates(out, backlog_ms, cost_to_others);
+        set_estimates(out, cost_to_others);
         return out;
     }
 
@@ -275,7 +273,6 @@
         std::vector<double> limits{free_tokens(candidates_[primary->index]) -
                                    request_.output_tokens};
         double cost_to_others = primary->cost_to_others;
-        double backlog_ms = candidates_[primary->index].load.backlog_ms;
         for (const auto& it : sorted)
         {
             if (out.chosen.size() == segments)
@@ -285,15 +282,13 @@
             out.chosen.push_back(it.index);
             limits.push_back(free_tokens(candidates_[it.index]));
             cost_to_others += it.cost_to_others;
-            backlog_ms =
-                std::max(backlog_ms, candidates_[it.index].load.backlog_ms);
         }
         out.reserved_tokens =
             distribute_evenly(request_.prompt_tokens, std::move(limits));
         if (out.reserved_tokens.empty())
             return std::nullopt;
         out.reserved_tokens.front() += request_.output_tokens;
-        set_estimates(out, backlog_ms, cost_to_others);
+        set_estimates(out, cost_to_others);
         out.cost += reservation_weight * static_cast<double>(segments - 1);
         return out;
     }
@@ -310,13 +305,16 @@
                free_tokens(it) > request_.output_tokens;
     }
 
-    /// Fills in the expected time and cost of a choice whose endpoints have a
-    /// backlog of `backlog_ms` and that costs others `cost_to_others`.
-    void set_estimates(placement_choice& out, double backlog_ms,
-                       double cost_to_others) const
+    /// Fills in the expected time to first token and the costs of a choice.
+    void set_estimates(placement_choice& out, double cost_to_others) const
     {
         const auto& first = candidates_[out.chosen.front()];
-        out.first_token_ms = first_token_ms(first, backlog_ms, out.segment_ms);
+        double prefills_end_ms = 0;
+        for (const auto n : out.chosen)
+            prefills_end_ms =
+                std::max(prefills_end_ms,
+                         prefill_end_ms(candidates_[n], out.segment_ms));
+        out.first_token_ms = first_token_ms(first, prefills_end_ms);
         out.cost_to_others = cost_to_others;
         out.cost = out.cost_to_others - packing(first) +
                    own_cost(out.first_token_ms) +
@@ -324,15 +322,24 @@
                    (first.same_domain ? 0 : cross_domain_weight);
     }
 
-    /// Time to first token behind a backlog of `backlog_ms`. A prefill starts
-    /// with the next pass, so on average it waits for half of the current one.
-    double first_token_ms(const placement_candidate& it, double backlog_ms,
-                          double segment_ms) const
+    /// Time until an engine has done its backlog and a segment.
+    static double prefill_end_ms(const placement_candidate& it,
+                                 double segment_ms)
+    {
+        return it.slowdown * (it.load.backlog_ms + segment_ms);
+    }
+
+    /// Time to first token if the prefills end after `prefills_end_ms`. A
+    /// prefill starts with the next pass, so on average it waits for half of
+    /// the current one.
+    double first_token_ms(const placement_candidate& it,
+                          double prefills_end_ms) const
     {
         const double pass =
+            it.slowdown *
             engine_.pass_ms(it.load.running + 1, it.load.context_tokens);
         const double current_pass_wait = it.load.running > 0 ? pass / 2 : 0;
-        return backlog_ms + segment_ms + pass + current_pass_wait;
+        return prefills_end_ms + pass + current_pass_wait;
     }
 
     double own_cost(double first_token_ms) const
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -45,6 +45,9 @@
     /// Random number from 0 to 1 for each pair of request and endpoint, so
     /// that nodes that place requests at the same time choose different ones.
     double jitter = 0;
+    /// Factor for its expected times; above 1 for an endpoint that has been
+    /// slower than others of its service.
+    double slowdown = 1;
 };
 
 struct placement_choice
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -197,7 +197,7 @@
 {
     const auto now = clock_.now();
     candidate_list list;
-    for (const auto* const it : registry_.usable(item.service, now))
+    for (const auto* const it : selectable(item))
     {
         ++list.known;
         auto load = load_.load_of(it->key, now);
@@ -212,7 +212,8 @@
              .same_domain =
                  it->description.failure_domain == options_.failure_domain,
              .may_be_primary = has_room(*it),
-             .jitter = std::ldexp(static_cast<double>(jitter), -64)});
+             .jitter = std::ldexp(static_cast<double>(jitter), -64),
+             .slowdown = estimates_.slowdown(it->key)});
     }
     return list;
 }
@@ -294,15 +295,18 @@
             segment_helper.reserved_tokens = choice.reserved_tokens[n];
         out.helpers.push_back(std::move(segment_helper));
     }
-    running_.emplace(item.id,
-                     running_request{.primary = primary.key,
-                                     .endpoints = work.endpoints,
-                                     .fingerprint = item.fingerprint,
-                                     .shared_parts = item.shared_parts,
-                                     .attempt = item.attempt,
-                                     .placed_at = now,
-                                     .announce_first_token =
-                                         choice.segment_ms > long_prefill_ms});
+    running_.emplace(
+        item.id,
+        running_request{.primary = primary.key,
+                        .endpoints = work.endpoints,
+                        .fingerprint = item.fingerprint,
+                        .shared_parts = item.shared_parts,
+                        .attempt = item.attempt,
+                        .placed_at = now,
+                        .expected_first_token_ms =
+                            measured_first_token_ms(item, list, choice),
+                        .announce_first_token =
+                            choice.segment_ms > long_prefill_ms});
     wire::work_update update;
     write_entry(work, now, *update.add_placed());
     update.mutable_placed(0)->set_repeat(item.is_retry);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "galenapulley/crash_registry.hpp"
 #include "galenapulley/endpoint_announcements.hpp"
 #include "galenapulley/endpoint_registry.hpp"
+#include "galenapulley/endpoints/endpoint_estimates.hpp"
 #include "galenapulley/fleet_load.hpp"
 #include "galenapulley/handover_targets.hpp"
 #include "galenapulley/partition_detector.hpp"
@@ -141,6 +142,9 @@
     const endpoint_registry& endpoints() const { return registry_; }
     /// May be used by other threads.
     endpoint_announcements& announcements() { return announcements_; }
+    const endpoint_estimates& estimates() const { return estimates_; }
+    /// What operators see of the estimates, as JSON.
+    std::string describe_estimates() const;
     const fleet_load& load() const { return load_; }
     std::size_t waiting() const { return queue_.size(); }
     std::size_t running() const { return running_.size(); }
@@ -159,6 +163,9 @@
         std::vector<prompt_part> shared_parts;
         std::string attempt;
         msec placed_at = 0;
+        /// Expected for an endpoint of usual speed; 0 if the time to first
+        /// token shows nothing of the endpoint.
+        double expected_first_token_ms = 0;
         /// The node that the request was handed over to; empty if none was.
         std::string handed_to{};
         /// Set for long prefills, whose end is announced to the other nodes.
@@ -174,6 +181,26 @@
     };
 
     candidate_list candidates(const dispatch_request& item) const;
+    /// The service's usable endpoints, without ejected ones; an ejected one
+    /// alone if the request is a trial of it.
+    std::vector<const known_endpoint*>
+    selectable(const dispatch_request& item) const;
+    /// Whether the request may try an endpoint that fails many requests.
+    bool is_trial_of(const dispatch_request& item,
+                     const known_endpoint& it) const;
+    /// What running_request::expected_first_token_ms is for the choice.
+    double measured_first_token_ms(const dispatch_request& item,
+                                   const candidate_list& list,
+                                   const placement_choice& choice) const;
+    void record_speed(running_request& work);
+    void record_reliability(const running_request& work,
+                            const attempt_result& result);
+    void update_members();
+    void record_peer_estimates(const std::string& node,
+                               const wire::work_update& message);
+    void write_estimates(wire::work_update& update) const;
+    /// Ejects and reinstates endpoints.
+    void evaluate_estimates();
     /// Whether the endpoint's rate limit allows another request of this node.
     bool has_room(const known_endpoint& it) const;
     bool may_use(const dispatch_request& item, const known_endpoint& it,
@@ -261,6 +288,7 @@
     std::map<std::string, msec> heard_at_;
     endpoint_registry registry_;
     endpoint_announcements announcements_;
+    endpoint_estimates estimates_;
     partition_detector partition_;
     probe_callback probe_ = [](endpoint_key, const std::string&) {
     };
--- a/src/gateway/dispatcher_outcomes.cpp
+++ b/src/gateway/dispatcher_outcomes.cpp
@@ -32,6 +32,7 @@
     if (it == running_.end())
         return;
     const bool announces = it->second.announce_first_token;
+    record_speed(it->second);
     // May place waiting requests, which invalidates the iterator.
     record_connection(it->second, {.connected = true});
     if (!announces)
@@ -58,6 +59,7 @@
     if (result.outcome == attempt_outcome::completed && !result.began())
         quarantine_.on_sound(work.shared_parts, clock_.now());
     record_failure(work, result);
+    record_reliability(work, result);
     wire::work_update update;
     update.add_ended(id);
     // What a partitioned node fails to reach may be sound.
--- a/src/gateway/dispatcher_partition.cpp
+++ b/src/gateway/dispatcher_partition.cpp
@@ -133,7 +133,10 @@
     if (began)
         probe_endpoints();
     else
+    {
         registry_.on_partition_end();
+        estimates_.forget_own_results();
+    }
     announce({});
     place_waiting();
 }
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -177,6 +177,7 @@
     for (const auto& [id, it] : registry_.all())
         known.insert(it.key);
     announcements_.retain(known);
+    update_members();
 }
 
 wire::work_update dispatcher::all_work() const
@@ -187,6 +188,7 @@
     for (const auto* const it : load_.work_of(options_.node))
         write_entry(*it, now, *update.add_placed());
     write_announcements(update);
+    write_estimates(update);
     write_contact(update);
     return update;
 }
@@ -220,6 +222,7 @@
 void dispatcher::drop_missing(bool authoritative, msec authoritative_since)
 {
     registry_.drop_missing(authoritative, authoritative_since, clock_.now());
+    update_members();
 }
 
 void dispatcher::on_store_restored()
@@ -265,6 +268,7 @@
     for (const auto key : message.leaving())
         record_peer_leaving(key, node);
     record_peer_contact(node, message);
+    record_peer_estimates(node, message);
     if (message.ended_size() > 0 || message.complete())
         place_waiting();
 }
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -52,6 +52,8 @@
     {rate_limited, "rate_limited", warn},
     {pause_requested, "pause_requested", warn},
     {endpoint_leaving, "endpoint_leaving", info},
+    {endpoint_ejected, "endpoint_ejected", warn},
+    {endpoint_reinstated, "endpoint_reinstated", info},
     {partitioned, "partitioned", warn},
     {partition_ended, "partition_ended", info},
     {request_read, "request_read", debug},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -45,6 +45,8 @@
     rate_limited,
     pause_requested,
     endpoint_leaving,
+    endpoint_ejected,
+    endpoint_reinstated,
     partitioned,
     partition_ended,
     request_read,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,14 +206,15 @@
                          publish_state();
                      });
     loop_.call_every(probe_period, [this] { dispatcher_.probe_endpoints(); });
-    loop_.call_every(announce_all_period,
-                     [this]
-                     {
-                         dispatcher_.drop_silent_nodes();
-                         announcer_.announce_all(
-                             serving_set_.contains(settings_.node),
-                             loop_.now());
-                     });
+    loop_.call_every(
+        announce_all_period,
+        [this]
+        {
+            dispatcher_.drop_silent_nodes();
+            metrics_.set_endpoints(dispatcher_.describe_estimates());
+            announcer_.announce_all(serving_set_.contains(settings_.node),
+                                    loop_.now());
+        });
     loop_.call_every(flush_period,
                      [this]
                      {
@@ -356,6 +357,8 @@
     metrics_.set(gauge::endpoints_leaving,
                  static_cast<std::int64_t>(
                      dispatcher_.announcements().leaving(loop_.now()).size()));
+    metrics_.set(gauge::endpoints_ejected,
+                 static_cast<std::int64_t>(dispatcher_.estimates().ejected()));
     metrics_.set(gauge::partitioned, dispatcher_.is_partitioned() ? 1 : 0);
     metrics_.set(gauge::endpoints_paused,
                  static_cast<std::int64_t>(
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -25,6 +25,7 @@
     "endpoints_known",
     "endpoints_paused",
     "endpoints_leaving",
+    "endpoints_ejected",
     "partitioned",
     "live_nodes",
     "serving_nodes",
@@ -85,6 +86,18 @@
     serving_set_ = std::move(members);
 }
 
+void gateway_metrics::set_endpoints(std::string json)
+{
+    const std::lock_guard lock(endpoints_mutex_);
+    endpoints_ = std::move(json);
+}
+
+std::string gateway_metrics::endpoints() const
+{
+    const std::lock_guard lock(endpoints_mutex_);
+    return endpoints_;
+}
+
 void gateway_metrics::count(attempt_outcome outcome)
 {
     outcomes_.increment(static_cast<std::size_t>(outcome));
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -43,6 +43,7 @@
     endpoints_known,
     endpoints_paused,
     endpoints_leaving,
+    endpoints_ejected,
     partitioned,
     live_nodes,
     serving_nodes,
@@ -69,6 +70,8 @@
     void observe(request_stage stage, msec elapsed);
     void set(gauge which, std::int64_t value);
     void set_serving_set(std::map<std::string, serving_reason> members);
+    /// Sets what endpoints() returns.
+    void set_endpoints(std::string json);
     void count(attempt_outcome outcome);
     void count(order_result result);
     /// Counts the end of an attempt at another node.
@@ -79,6 +82,8 @@
     std::string expose() const;
     /// All gauges and the serving set as a JSON object, for operators.
     std::string status() const;
+    /// The estimates of the endpoints as a JSON object, for operators.
+    std::string endpoints() const;
 
 private:
     static constexpr std::array<msec, 12> bounds{
@@ -98,6 +103,8 @@
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
     mutable std::mutex serving_set_mutex_;
     std::map<std::string, serving_reason> serving_set_;
+    mutable std::mutex endpoints_mutex_;
+    std::string endpoints_ = "{}";
 };
 
 } // namespace galenapulley
--- a/src/gateway/work_message.cpp
+++ b/src/gateway/work_message.cpp
@@ -54,6 +54,26 @@
     return {.endpoint = from.endpoint(), .until = now + left};
 }
 
+void write_estimate(const endpoint_estimate& from, msec now,
+                    wire::endpoint_estimate_entry& to)
+{
+    to.set_endpoint(from.endpoint);
+    to.set_slowdown(static_cast<float>(from.slowdown));
+    to.set_failure_rate(static_cast<float>(from.failure_rate));
+    to.set_weight(static_cast<float>(from.weight));
+    to.set_age_ms(static_cast<std::uint32_t>(std::max(now - from.at, 0_ms)));
+}
+
+endpoint_estimate read_estimate(const wire::endpoint_estimate_entry& from,
+                                msec now)
+{
+    return {.endpoint = from.endpoint(),
+            .slowdown = from.slowdown(),
+            .failure_rate = from.failure_rate(),
+            .weight = from.weight(),
+            .at = now - from.age_ms()};
+}
+
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now)
 {
--- a/src/gateway/work_message.hpp
+++ b/src/gateway/work_message.hpp
@@ -2,6 +2,7 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/endpoint_announcements.hpp"
+#include "galenapulley/endpoints/endpoint_estimates.hpp"
 #include "galenapulley/fleet_load.hpp"
 #include "peer.pb.h"
 
@@ -18,6 +19,10 @@
 rate_limit_report read_rate_limit(const wire::rate_limit_entry& from, msec now);
 void write_pause(const pause_report& from, msec now, wire::pause_entry& to);
 pause_report read_pause(const wire::pause_entry& from, msec now);
+void write_estimate(const endpoint_estimate& from, msec now,
+                    wire::endpoint_estimate_entry& to);
+endpoint_estimate read_estimate(const wire::endpoint_estimate_entry& from,
+                                msec now);
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now);
 
--- a/tests/unit/prompt_placement_test.cpp
+++ b/tests/unit/prompt_placement_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 using namespace galenapulley;
 
@@ -305,3 +306,39 @@
         it.load.running = 6;
     BOOST_TEST(!place_plain(fleet).has_value());
 }
+
+// Guards against a slow engine that is taken for as fast as the others.
+BOOST_AUTO_TEST_CASE(a_slow_engine_gets_prompts_that_others_would_delay)
+{
+    auto slow = idle();
+    slow.slowdown = 5;
+    const std::vector<placement_candidate> both{slow, idle()};
+    const auto choice = place_prompt(engine(), short_prompt(), both);
+    BOOST_TEST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->chosen.front() == 1U);
+    const std::vector<placement_candidate> alone{slow};
+    const std::vector<placement_candidate> usual{idle()};
+    const auto late = place_prompt(engine(), short_prompt(), alone);
+    const auto prompt = place_prompt(engine(), short_prompt(), usual);
+    BOOST_TEST_REQUIRE(late.has_value());
+    BOOST_TEST(std::abs(late->first_token_ms - 5 * prompt->first_token_ms) <
+               0.001);
+}
+
+// Guards against a slow helper whose segment is expected as early as the
+// others'.
+BOOST_AUTO_TEST_CASE(a_slow_helper_delays_the_whole_prompt)
+{
+    auto slow = idle();
+    slow.slowdown = 4;
+    auto request = long_prompt();
+    request.max_segments = 2;
+    const std::vector<placement_candidate> usual{idle(), idle()};
+    const std::vector<placement_candidate> mixed{idle(), slow};
+    const auto fast = place_prompt(engine(), request, usual);
+    const auto other = place_prompt(engine(), request, mixed);
+    BOOST_TEST_REQUIRE(fast.has_value());
+    BOOST_TEST_REQUIRE(other.has_value());
+    BOOST_TEST(fast->chosen.size() == 2U);
+    BOOST_TEST(other->first_token_ms > fast->first_token_ms);
+}
