--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -119,18 +119,21 @@
 gateway_process::gateway_process(const std::string& name,
                                  const std::string& zone,
                                  const std::string& store_address,
-                                 const std::vector<std::string>& seeds)
+                                 const std::vector<std::string>& seeds,
+                                 const std::string& more_settings)
 {
     const auto directory = boost::filesystem::temp_directory_path() /
                            boost::filesystem::unique_path("gateway-%%%%%%%%");
     boost::filesystem::create_directories(directory);
     const auto file = (directory / "settings.json").string();
     log_file_ = (directory / "log.txt").string();
-    std::ofstream(file) << nlohmann::json{
+    nlohmann::json settings{
         {"node", name},        {"failure_domain", zone},  {"traffic", traffic_},
         {"ready", ready_},     {"directory", directory_}, {"peer", peer_},
         {"metrics", metrics_}, {"store", store_address},  {"seeds", seeds},
         {"stop_grace_s", 4}};
+    settings.update(nlohmann::json::parse(more_settings));
+    std::ofstream(file) << settings;
     process_ = std::make_unique<child_process>(
         std::getenv("GALENAPULLEY_BINARY"),
         std::vector<std::string>{"gateway", "--config", file}, log_file_,
--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -54,7 +54,8 @@
 public:
     gateway_process(const std::string& name, const std::string& zone,
                     const std::string& store_address,
-                    const std::vector<std::string>& seeds);
+                    const std::vector<std::string>& seeds,
+                    const std::string& more_settings = "{}");
 
     /// Waits until the readiness check succeeds.
     bool wait_until_ready(msec limit = 15'000);
@@ -68,6 +69,7 @@
     child_process& process() { return *process_; }
     const std::string& traffic() const { return traffic_; }
     const std::string& peer() const { return peer_; }
+    const std::string& metrics_address() const { return metrics_; }
 
 private:
     std::string traffic_ = free_address();
