--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -70,6 +70,7 @@
     child_process& process() { return *process_; }
     const std::string& traffic() const { return traffic_; }
     const std::string& peer() const { return peer_; }
+    const std::string& metrics_address() const { return metrics_; }
 
 private:
     std::string traffic_ = free_address();
