Placement: endpoints that retain prompt prefixes

Change: optional RetainedTokens and RetainMs of an endpoint's entry; a bounded index of held prefixes per endpoint, shared by work_update.prefixes; a holder is chosen if the first token is expected sooner there and no more value is lost to delays.

--- a/src/galenapulley/endpoint.hpp
+++ b/src/galenapulley/endpoint.hpp
@@ -3,6 +3,7 @@
 #include "galenapulley/clock.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace galenapulley
@@ -11,6 +12,15 @@
 /// Identifies one incarnation of an endpoint within the cluster.
 using endpoint_key = std::uint64_t;
 
+/// What an endpoint declares of the prompt prefixes that it retains in memory
+/// after a request.
+struct prefix_retention
+{
+    double tokens = 0;
+    /// Time since the last request that used a prefix.
+    msec time = 0;
+};
+
 /// Self-description of one incarnation of an endpoint.
 struct endpoint
 {
@@ -27,6 +37,10 @@
     /// Start time in milliseconds since the Unix epoch; 0 if unknown.
     /// Distinguishes incarnations, as an endpoint may restart under its old id.
     std::int64_t started_at = 0;
+    /// Absent if it retains nothing.
+    std::optional<prefix_retention> retention{};
+    /// Identifies the version of its weights; 0 if unknown.
+    std::uint64_t weights = 0;
 };
 
 } // namespace galenapulley
--- a/src/galenapulley/prompt_part.hpp
+++ b/src/galenapulley/prompt_part.hpp
@@ -11,6 +11,8 @@
     std::uint64_t id = 0;
     /// Number of parts before it.
     std::uint32_t position = 0;
+    /// 0 if unknown.
+    std::uint32_t tokens = 0;
 };
 
 } // namespace galenapulley
--- a/src/galenapulley/prompt_placement.cpp
+++ b/src/galenapulley/prompt_placement.cpp
@@ -94,7 +94,9 @@
         : engine_(engine)
         , request_(request)
         , candidates_(candidates)
-        , prefill_ms_(engine.prefill_ms(request.prompt_tokens))
+        , prefill_tokens_(request.prompt_tokens - request.retained_tokens)
+        , prefill_ms_(engine.prefill_ms(request.prompt_tokens) -
+                      engine.prefill_ms(request.retained_tokens))
     {
     }
 
@@ -147,7 +149,7 @@
     double pass_ms(const placement_candidate& it, double backlog_ms) const
     {
         const double longest =
-            engine_.max_prefill_in_pass_ms(prefill_ms_, request_.prompt_tokens);
+            engine_.max_prefill_in_pass_ms(prefill_ms_, prefill_tokens_);
         return engine_.pass_ms(it.load.running + 1, it.load.context_tokens) +
                std::min(backlog_ms, std::max(longest, it.load.backlog_ms));
     }
@@ -318,6 +320,8 @@
         const auto& first = candidates_[out.chosen.front()];
         out.first_token_ms = first_token_ms(first, backlog_ms, out.segment_ms);
         out.cost_to_others = cost_to_others;
+        out.delay_cost = cost_to_others + own_cost(out.first_token_ms) +
+                         std::max(0.0, -packing(first));
         out.cost = out.cost_to_others - packing(first) +
                    own_cost(out.first_token_ms) +
                    segment_weight * static_cast<double>(out.chosen.size() - 1) +
@@ -352,6 +356,7 @@
     const engine_profile& engine_;
     const placement_request& request_;
     std::span<const placement_candidate> candidates_;
+    double prefill_tokens_;
     double prefill_ms_;
 };
 
--- a/src/galenapulley/prompt_placement.hpp
+++ b/src/galenapulley/prompt_placement.hpp
@@ -15,6 +15,9 @@
 struct placement_request
 {
     double prompt_tokens = 0;
+    /// Tokens at the start of the prompt that are in memory already, so that
+    /// only the others are prefilled.
+    double retained_tokens = 0;
     double output_tokens = 0;
     /// Longest time to first token that its client accepts.
     double first_token_target_ms = 0;
@@ -45,6 +48,9 @@
     /// Random number from 0 to 1 for each pair of request and endpoint, so
     /// that nodes that place requests at the same time choose different ones.
     double jitter = 0;
+    /// Tokens at the start of the prompt that it retains in memory; used by
+    /// place_prompt_by_prefix() only.
+    double retained_tokens = 0;
 };
 
 struct placement_choice
@@ -62,6 +68,11 @@
     double cost = 0;
     /// The part of the cost that falls on other requests.
     double cost_to_others = 0;
+    /// Expected loss of value by delays and by slots taken that are the last
+    /// ones, without the gain of packing.
+    double delay_cost = 0;
+    /// Tokens that the primary endpoint doesn't have to prefill.
+    double retained_tokens = 0;
 };
 
 /// Chooses the engines for a prompt. Meant for loads in which bursts of prompts
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -241,7 +241,7 @@
         .value = value_of(item.prompt_tokens),
         .max_segments = split ? max_segments : 1,
         .may_distribute_kv = above_one_engine};
-    return place_prompt(*engine, request, list.load);
+    return place_on_engines(item, *engine, request, list);
 }
 
 bool dispatcher::try_place(const dispatch_request& item,
@@ -320,10 +320,13 @@
          {"backlog_ms", load.backlog_ms},
          {"running", static_cast<std::int64_t>(load.running)},
          {"expected_ms", choice.first_token_ms},
+         {"retained_tokens", choice.retained_tokens},
          {"loss", choice.cost},
          {"waited_ms", now - item.received_at},
          {"configuration", static_cast<std::int64_t>(item.table->version())}});
     load_.add(std::move(work), now);
+    if (choice.retained_tokens > 0)
+        on_prefix_use_(choice.retained_tokens);
     if (announcements_.rate_limit(primary.key))
         rate_share_.on_placed(primary.key, now);
     announce(std::move(update));
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "galenapulley/handover_targets.hpp"
 #include "galenapulley/partition_detector.hpp"
 #include "galenapulley/placement_queue.hpp"
+#include "galenapulley/prefixes/prefix_index.hpp"
 #include "galenapulley/prompt_placement.hpp"
 #include "galenapulley/prompt_quarantine.hpp"
 #include "galenapulley/rate_meter.hpp"
@@ -80,6 +81,12 @@
     /// The callback is invoked when a request begins to wait and tick() has to
     /// be called periodically.
     void set_wake(std::function<void()> fn) { wake_ = std::move(fn); }
+    /// The callback gets the tokens that need no prefill when a request is
+    /// placed where a prefix of its prompt is retained.
+    void set_prefix_use(std::function<void(double)> fn)
+    {
+        on_prefix_use_ = std::move(fn);
+    }
 
     void request(dispatch_request item, result_callback done);
     /// Removes a waiting request whose client has disconnected or whose
@@ -181,6 +188,16 @@
     bool try_place(const dispatch_request& item, const result_callback& done);
     std::optional<placement_choice> choose(const dispatch_request& item,
                                            const candidate_list& list) const;
+    /// Weighs the prefixes that endpoints retain against their load.
+    std::optional<placement_choice>
+    place_on_engines(const dispatch_request& item, const engine_profile& engine,
+                     const placement_request& request,
+                     const candidate_list& list) const;
+    void set_prefix_holders();
+    void record_prefixes(std::uint64_t id, const running_request& work,
+                         const attempt_result& result);
+    void record_peer_prefixes(const wire::work_update& message);
+    void write_prefixes(wire::work_update& update) const;
     void grant(const dispatch_request& item, const candidate_list& list,
                const placement_choice& choice, const result_callback& done);
     void refuse(const dispatch_request& item, dispatch_refusal refusal,
@@ -267,6 +284,9 @@
     std::uint64_t probes_ = 0;
     handover_targets handover_targets_;
     fleet_load load_;
+    prefix_index prefixes_;
+    std::function<void(double)> on_prefix_use_ = [](double) {
+    };
     rate_share rate_share_;
     placement_queue queue_;
     crash_registry crashes_;
--- a/src/gateway/dispatcher_outcomes.cpp
+++ b/src/gateway/dispatcher_outcomes.cpp
@@ -53,6 +53,7 @@
         record_handover(work, result);
         return;
     }
+    record_prefixes(id, work, result);
     load_.remove(id, clock_.now());
     record_connection(work, result);
     if (result.outcome == attempt_outcome::completed && !result.began())
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -56,6 +56,7 @@
     const auto now = clock_.now();
     if (!registry_.on_peer_failure(key, peer, now))
         return;
+    prefixes_.forget(key, now);
     const auto& known = *registry_.find(key);
     log_.write(
         log_event::endpoint_avoided,
@@ -130,6 +131,7 @@
     const auto now = clock_.now();
     if (!registry_.on_peer_pause(report.endpoint, report.until, now))
         return;
+    prefixes_.forget(report.endpoint, now);
     const auto& known = *registry_.find(report.endpoint);
     log_.write(log_event::pause_requested,
                {{"request", std::string_view()},
@@ -187,6 +189,7 @@
     for (const auto* const it : load_.work_of(options_.node))
         write_entry(*it, now, *update.add_placed());
     write_announcements(update);
+    write_prefixes(update);
     write_contact(update);
     return update;
 }
@@ -210,6 +213,7 @@
 {
     registry_.update(entries, authoritative, clock_.now());
     forget_removed_endpoints();
+    set_prefix_holders();
     log_.write(log_event::endpoints,
                {{"entries", static_cast<std::int64_t>(entries.size())},
                 {"known", static_cast<std::int64_t>(registry_.all().size())},
@@ -264,6 +268,7 @@
         record_peer_pause(read_pause(it, now), node);
     for (const auto key : message.leaving())
         record_peer_leaving(key, node);
+    record_peer_prefixes(message);
     record_peer_contact(node, message);
     if (message.ended_size() > 0 || message.complete())
         place_waiting();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -132,6 +132,7 @@
             wake();
         });
     dispatcher_.set_wake([this] { wake(); });
+    dispatcher_.set_prefix_use([this](double n) { metrics_.count_prefix(n); });
     dispatcher_.set_probe(
         [this](endpoint_key key, const std::string& address)
         {
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -62,6 +62,15 @@
     , handovers_(registry.add("galenapulley_handovers_total",
                               "Requests handed over to other nodes by outcome",
                               "outcome", outcome_names()))
+    , prefix_placements_(
+          registry.add("galenapulley_prefix_placements_total",
+                       "Requests placed at an endpoint that retains a prefix "
+                       "of the prompt",
+                       "prefix", {"retained"}))
+    , prefix_tokens_(registry.add("galenapulley_prefix_tokens_total",
+                                  "Prompt tokens that were expected to need no "
+                                  "prefill",
+                                  "prefix", {"retained"}))
 {
 }
 
@@ -106,6 +115,12 @@
     responses_.increment(group <= 5 ? group : 0);
 }
 
+void gateway_metrics::count_prefix(double tokens)
+{
+    prefix_placements_.increment(0);
+    prefix_tokens_.increment(0, static_cast<std::uint64_t>(tokens));
+}
+
 std::string gateway_metrics::status() const
 {
     nlohmann::ordered_json out;
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -74,6 +74,9 @@
     /// Counts the end of an attempt at another node.
     void count_handover(attempt_outcome outcome);
     void count_response(int status);
+    /// Counts a request that was placed where `tokens` of its prompt need no
+    /// prefill.
+    void count_prefix(double tokens);
 
     /// Histograms and gauges in the metrics text format.
     std::string expose() const;
@@ -94,6 +97,8 @@
     counter_family& responses_;
     counter_family& orders_;
     counter_family& handovers_;
+    counter_family& prefix_placements_;
+    counter_family& prefix_tokens_;
     std::array<histogram, request_stage_count> histograms_;
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
     mutable std::mutex serving_set_mutex_;
--- a/src/gateway/work_message.cpp
+++ b/src/gateway/work_message.cpp
@@ -54,6 +54,26 @@
     return {.endpoint = from.endpoint(), .until = now + left};
 }
 
+void write_prefix(const held_prefix& from, msec now,
+                  wire::held_prefix_entry& to)
+{
+    to.set_endpoint(from.endpoint);
+    to.set_prefix(from.prefix);
+    to.set_tokens(static_cast<std::uint32_t>(from.added_tokens));
+    to.set_left_ms(
+        static_cast<std::uint32_t>(std::max(from.until - now, 0_ms)));
+    to.set_weights(from.weights);
+}
+
+held_prefix read_prefix(const wire::held_prefix_entry& from, msec now)
+{
+    return {.endpoint = from.endpoint(),
+            .prefix = from.prefix(),
+            .added_tokens = static_cast<double>(from.tokens()),
+            .until = now + static_cast<msec>(from.left_ms()),
+            .weights = from.weights()};
+}
+
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now)
 {
--- a/src/gateway/work_message.hpp
+++ b/src/gateway/work_message.hpp
@@ -3,6 +3,7 @@
 #include "galenapulley/clock.hpp"
 #include "galenapulley/endpoint_announcements.hpp"
 #include "galenapulley/fleet_load.hpp"
+#include "galenapulley/prefixes/prefix_index.hpp"
 #include "peer.pb.h"
 
 #include <string>
@@ -18,6 +19,10 @@
 rate_limit_report read_rate_limit(const wire::rate_limit_entry& from, msec now);
 void write_pause(const pause_report& from, msec now, wire::pause_entry& to);
 pause_report read_pause(const wire::pause_entry& from, msec now);
+/// Reads and writes the tokens that the prefix adds to the next shorter one.
+void write_prefix(const held_prefix& from, msec now,
+                  wire::held_prefix_entry& to);
+held_prefix read_prefix(const wire::held_prefix_entry& from, msec now);
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now);
 
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -101,3 +101,41 @@
     BOOST_TEST(endpoints[0].cold_remaining == 1200);
     BOOST_TEST(endpoints[0].started_at == 5);
 }
+
+// Guards against a declaration that makes the entry unusable if it is invalid,
+// and against one that is made up for an endpoint that declares nothing.
+BOOST_AUTO_TEST_CASE(retained_prefixes_are_read_if_they_are_valid)
+{
+    const auto read = [](const std::string& more)
+    {
+        cluster_rows rows;
+        rows.replace({{.key = "a",
+                       .value = R"({"Service":"s","Address":"10.0.0.1:80",
+"Zone":"east","Slots":16,"State":"ready")" +
+                                more + "}",
+                       .version = 1}},
+                     {.number = 2});
+        std::size_t invalid = 0;
+        const auto endpoints = platform_codec().read_endpoints(rows, invalid);
+        BOOST_TEST_REQUIRE(endpoints.size() == 1U);
+        return endpoints[0];
+    };
+    const auto good =
+        read(R"(,"RetainedTokens":90000,"RetainMs":30000,"Version":"v1")");
+    BOOST_TEST_REQUIRE(good.retention.has_value());
+    BOOST_TEST(good.retention->tokens == 90'000);
+    BOOST_TEST(good.retention->time == 30'000);
+    BOOST_TEST(good.weights != read(R"(,"Version":"v2")").weights);
+    BOOST_TEST(good.weights == read(R"(,"Version":"v1")").weights);
+    for (const auto* const it :
+         {"", R"(,"Version":1)", R"(,"RetainedTokens":90000)",
+          R"(,"RetainMs":30000)", R"(,"RetainedTokens":0,"RetainMs":1)",
+          R"(,"RetainedTokens":-1,"RetainMs":1)",
+          R"(,"RetainedTokens":1,"RetainMs":0)",
+          R"(,"RetainedTokens":"9","RetainMs":1)",
+          R"(,"RetainedTokens":1.5,"RetainMs":1)",
+          R"(,"RetainedTokens":1e300,"RetainMs":1)",
+          R"(,"RetainedTokens":18446744073709551615,"RetainMs":1)",
+          R"(,"RetainedTokens":[1],"RetainMs":{})"})
+        BOOST_TEST(!read(it).retention.has_value());
+}
--- a/tests/unit/platform_format_test.cpp
+++ b/tests/unit/platform_format_test.cpp
@@ -185,6 +185,11 @@
     BOOST_TEST(parts[0].id == 0x5c1e07a2U);
     BOOST_TEST(parts[1].id == 0x91bd3f06U);
     BOOST_TEST(parts[1].position == 1U);
+    BOOST_TEST(parts[0].tokens == 800U);
+    BOOST_TEST(parts[1].tokens == 410U);
+    for (const auto* const text :
+         {"a,b", "a:,b", "a:-1,b", "a:x,b", "a,b:7", "a:99999999999,b"})
+        BOOST_TEST(parts_of(text).front().tokens == 0U);
     BOOST_TEST(parts_of("e4402b7d:250").empty());
     BOOST_TEST(parts_of("").empty());
     BOOST_TEST(parts_of("not hexadecimal,,").size() == 2U);
