--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "galenapulley/partition_detector.hpp"
 #include "galenapulley/placement_queue.hpp"
 #include "galenapulley/placement_turn.hpp"
+#include "galenapulley/prefixes/prefix_index.hpp"
 #include "galenapulley/prompt_placement.hpp"
 #include "galenapulley/prompt_quarantine.hpp"
 #include "galenapulley/rate_meter.hpp"
@@ -97,6 +98,12 @@
     /// The callback is invoked when continue_placing() has to be called in the
     /// next iteration of the event loop.
     void set_continue(std::function<void()> fn) { continue_ = std::move(fn); }
+    /// The callback gets the tokens that need no prefill when a request is
+    /// placed where a prefix of its prompt is retained.
+    void set_prefix_use(std::function<void(double)> fn)
+    {
+        on_prefix_use_ = std::move(fn);
+    }
 
     void request(dispatch_request item, result_callback done);
     /// Removes a waiting request whose client has disconnected or whose
@@ -239,6 +246,16 @@
                                           const candidate_list& list);
     std::optional<placement_choice> choose(const dispatch_request& item,
                                            const candidate_list& list) const;
+    /// Weighs the prefixes that endpoints retain against their load.
+    std::optional<placement_choice>
+    place_on_engines(const dispatch_request& item, const engine_profile& engine,
+                     const placement_request& request,
+                     const candidate_list& list) const;
+    void set_prefix_holders();
+    void record_prefixes(std::uint64_t id, const running_request& work,
+                         const attempt_result& result);
+    void record_peer_prefixes(const wire::work_update& message);
+    void write_prefixes(wire::work_update& update) const;
     void grant(const dispatch_request& item, const candidate_list& list,
                const placement_choice& choice, const result_callback& done);
     void refuse(const dispatch_request& item, dispatch_refusal refusal,
@@ -343,6 +360,9 @@
     std::uint64_t probes_ = 0;
     handover_targets handover_targets_;
     fleet_load load_;
+    prefix_index prefixes_;
+    std::function<void(double)> on_prefix_use_ = [](double) {
+    };
     rate_share rate_share_;
     placement_queue queue_;
     /// Where a turn continues in the next iteration of the event loop.
--- a/src/gateway/work_message.hpp
+++ b/src/gateway/work_message.hpp
@@ -4,6 +4,7 @@
 #include "galenapulley/endpoint_announcements.hpp"
 #include "galenapulley/endpoints/endpoint_estimates.hpp"
 #include "galenapulley/fleet_load.hpp"
+#include "galenapulley/prefixes/prefix_index.hpp"
 #include "peer.pb.h"
 
 #include <string>
@@ -23,6 +24,10 @@
                     wire::endpoint_estimate_entry& to);
 endpoint_estimate read_estimate(const wire::endpoint_estimate_entry& from,
                                 msec now);
+/// Reads and writes the tokens that the prefix adds to the next shorter one.
+void write_prefix(const held_prefix& from, msec now,
+                  wire::held_prefix_entry& to);
+held_prefix read_prefix(const wire::held_prefix_entry& from, msec now);
 placed_work read_entry(const wire::work_entry& from, const std::string& node,
                        msec now);
 
