Dispatcher: fair shares of endpoint time by client account

Cause: an account that sends five times its share takes five times the capacity while others wait. Change: endpoint time of all nodes is counted by account and decays; waiting requests of accounts over their share are ordered last within their priority and leave free endpoints to nodes at which others wait. ctl accounts, two log events, a gauge.

--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -71,6 +71,10 @@
     verb{"gateway", "",
          "Show the state of a gateway; --node is its metrics address.",
          &ctl_session::show_gateway},
+    verb{"accounts", "",
+         "Show shares and use of client accounts at a gateway; --node is its "
+         "metrics address.",
+         &ctl_session::show_accounts},
     verb{"nodes", "", "List the nodes that callers may use.",
          &ctl_session::list_nodes},
 };
--- a/src/ctl/ctl_session.cpp
+++ b/src/ctl/ctl_session.cpp
@@ -23,6 +23,7 @@
 const std::string services_path = "/admin/services";
 const std::string status_path = "/admin/status";
 const std::string gateway_status_path = "/status";
+const std::string gateway_accounts_path = "/accounts";
 
 std::string new_change_id()
 {
@@ -161,6 +162,11 @@
     return show(gateway_status_path);
 }
 
+exit_code ctl_session::show_accounts(const arguments& /*args*/)
+{
+    return show(gateway_accounts_path);
+}
+
 exit_code ctl_session::list_nodes(const arguments& /*args*/)
 {
     return show("/v1/nodes");
--- a/src/ctl/ctl_session.hpp
+++ b/src/ctl/ctl_session.hpp
@@ -45,6 +45,7 @@
     exit_code show_refusals(const arguments& args);
     exit_code show_metrics(const arguments& args);
     exit_code show_gateway(const arguments& args);
+    exit_code show_accounts(const arguments& args);
     exit_code list_nodes(const arguments& args);
 
 private:
--- a/src/galenapulley/fleet_load.hpp
+++ b/src/galenapulley/fleet_load.hpp
@@ -18,6 +18,8 @@
     /// Unique in the cluster.
     std::uint64_t request = 0;
     std::string node{};
+    /// Hash of the name of the client account; 0 for none.
+    std::uint64_t account = 0;
     /// The primary endpoint and then the helpers, which prefill segments.
     std::vector<endpoint_key> endpoints{};
     double prompt_tokens = 0;
--- a/src/galenapulley/placement_queue.cpp
+++ b/src/galenapulley/placement_queue.cpp
@@ -17,6 +17,13 @@
                   { return it.request == request; });
 }
 
+void placement_queue::set_over_share(
+    const std::unordered_set<std::uint64_t>& requests)
+{
+    for (auto& it : entries_)
+        it.over_share = requests.contains(it.request);
+}
+
 std::vector<std::uint64_t> placement_queue::ordered(msec now) const
 {
     auto sorted = entries_;
@@ -28,8 +35,8 @@
             {
                 const bool late =
                     now + it.min_service_time > it.first_token_due_at;
-                return std::tuple(it.priority, late, it.first_token_due_at,
-                                  it.request);
+                return std::tuple(it.priority, it.over_share, late,
+                                  it.first_token_due_at, it.request);
             };
             return rank(a) < rank(b);
         });
--- a/src/galenapulley/placement_queue.hpp
+++ b/src/galenapulley/placement_queue.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <unordered_set>
 #include <vector>
 
 namespace galenapulley
@@ -14,6 +15,8 @@
 {
     std::uint64_t request = 0;
     int priority = 0;
+    /// Its account has used more than its share, see account_shares.
+    bool over_share = false;
     msec received_at = 0;
     /// When the first token is due.
     msec first_token_due_at = 0;
@@ -31,11 +34,14 @@
 public:
     void add(placement_queue_entry entry);
     void remove(std::uint64_t request);
+    /// Sets over_share of these requests and clears that of all others.
+    void set_over_share(const std::unordered_set<std::uint64_t>& requests);
     std::size_t size() const { return entries_.size(); }
     bool empty() const { return entries_.empty(); }
 
     /// Requests in the order in which they should be placed: by priority, those
-    /// that can be in time before late ones, then earliest due first.
+    /// of accounts over their share last, those that can be in time before
+    /// late ones, then earliest due first.
     std::vector<std::uint64_t> ordered(msec now) const;
     /// Requests that should be refused now.
     std::vector<std::uint64_t> unservable(msec now) const;
--- a/src/galenapulley/routing_table.hpp
+++ b/src/galenapulley/routing_table.hpp
@@ -103,6 +103,7 @@
     /// Returns the route of the host with the longest matching path prefix;
     /// nullptr if there is none. `path` does not include the query.
     const route* find(std::string_view host, std::string_view path) const;
+    const std::vector<client_account>& accounts() const { return accounts_; }
     /// Returns nullptr for an unknown key.
     const client_account* account_of(const std::string& key) const;
     const service_profile* service(const std::string& name) const;
--- a/src/gateway/client_connection_services.cpp
+++ b/src/gateway/client_connection_services.cpp
@@ -13,9 +13,10 @@
 namespace
 {
 
-/// Path on the metrics address that returns the gauges as JSON; every other
-/// path returns the metrics.
+/// Paths on the metrics address that return the gauges and the client accounts
+/// as JSON; every other path returns the metrics.
 constexpr std::string_view status_path = "/status";
+constexpr std::string_view accounts_path = "/accounts";
 
 // Not a coroutine, in which g++ 12 destroys initializer lists twice.
 std::string text_response(int status, std::string_view type,
@@ -73,6 +74,12 @@
         co_return co_await send_text(200, "application/json", std::move(status),
                                      request.keep_alive);
     }
+    if (request.path() == accounts_path)
+    {
+        auto accounts = state_.metrics.accounts();
+        co_return co_await send_text(200, "application/json",
+                                     std::move(accounts), request.keep_alive);
+    }
     auto body = state_.count.expose() + state_.metrics.expose();
     co_return co_await send_text(200, "text/plain; version=0.0.4",
                                  std::move(body), request.keep_alive);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -124,6 +124,7 @@
                                             static_cast<double>(max_segments);
     queue_.add({.request = id,
                 .priority = item.priority,
+                .over_share = begins_over_share(item),
                 .received_at = item.received_at,
                 .first_token_due_at =
                     item.received_at + item.matched_route->target_latency,
@@ -272,6 +273,7 @@
                        .expected_first_token_ms = choice.first_token_ms};
     placed_work work{.request = item.id,
                      .node = options_.node,
+                     .account = account_key_of(item.account),
                      .prompt_tokens = item.prompt_tokens,
                      .output_tokens = item.output_tokens,
                      .reserved_tokens = choice.reserved_tokens,
@@ -323,6 +325,7 @@
          {"loss", choice.cost},
          {"waited_ms", now - item.received_at},
          {"configuration", static_cast<std::int64_t>(item.table->version())}});
+    count_use(work, false);
     load_.add(std::move(work), now);
     if (announcements_.rate_limit(primary.key))
         rate_share_.on_placed(primary.key, now);
@@ -341,6 +344,8 @@
                 {"waited_ms", clock_.now() - item.received_at},
                 {"waiting", static_cast<std::int64_t>(queue_.size())},
                 {"retry_after_ms", refusal.retry_after}});
+    ++account_refusals_[{item.service, account_key_of(item.account)}]
+                       [name_of(refusal.kind)];
     done(std::move(refusal));
 }
 
@@ -361,7 +366,7 @@
 
 void dispatcher::place_waiting()
 {
-    for (const auto id : queue_.ordered(clock_.now()))
+    for (const auto id : waiting_order())
     {
         const auto it = waiting_.find(id);
         if (it == waiting_.end())
@@ -371,7 +376,8 @@
             refuse_waiting(id, *std::move(refusal));
             continue;
         }
-        if (!try_place(it->second.item, it->second.done))
+        if (is_deferred(it->second.item) ||
+            !try_place(it->second.item, it->second.done))
             continue;
         queue_.remove(id);
         waiting_.erase(id);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "galenapulley/accounts/account_limits.hpp"
+#include "galenapulley/accounts/account_report.hpp"
+#include "galenapulley/accounts/account_shares.hpp"
 #include "galenapulley/clock.hpp"
 #include "galenapulley/crash_registry.hpp"
 #include "galenapulley/endpoint_announcements.hpp"
@@ -21,6 +24,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -28,6 +32,7 @@
 {
 
 class event_log;
+enum class log_event;
 
 namespace wire
 {
@@ -131,6 +136,15 @@
         handover_targets_.set_peers(std::move(peers));
     }
 
+    /// Sets the configuration that gives the costs of other nodes' work and the
+    /// names of accounts.
+    void set_routing(std::shared_ptr<const routing_table> table);
+    /// Recent use and limits of client accounts, for operators.
+    std::vector<account_report> account_reports() const;
+    /// Logs the limits of accounts that have ended.
+    void end_account_limits();
+    std::size_t limited_accounts() const { return account_limits_.size(); }
+
     void on_update(const std::string& node, const wire::work_update& message);
     void on_node_lost(const std::string& node);
     void on_crash_report(const crash_report& item);
@@ -218,6 +232,28 @@
     /// Adds what this node knows of its links to the endpoints.
     void announce(wire::work_update update);
     void place_waiting();
+    /// The waiting requests in the order in which they should be placed.
+    std::vector<std::uint64_t> waiting_order();
+    void update_shares(msec now);
+    /// Returns the waiting requests of the service that are over the share of
+    /// their accounts. `requests` is in the order of placement.
+    std::vector<std::uint64_t>
+    over_share(const std::string& service,
+               const std::vector<const dispatch_request*>& requests, msec now);
+    /// Whether a request that begins to wait is ordered after others at once.
+    bool begins_over_share(const dispatch_request& item);
+    /// Whether a waiting request leaves free endpoints to other nodes, at which
+    /// requests of accounts under their share wait.
+    bool is_deferred(const dispatch_request& item) const;
+    void count_peer_use(const placed_work& work, const wire::work_entry& entry,
+                        bool is_listed);
+    /// Counts the endpoint time of work that is placed now, or that a node
+    /// lists because it still runs.
+    void count_use(const placed_work& work, bool is_listed);
+    double cost_of(const std::string& service, double prompt_tokens,
+                   double output_tokens) const;
+    void log_account(log_event event, const limited_account& item);
+    std::string account_name(account_key account) const;
     void record_failure(const running_request& work,
                         const attempt_result& result);
     /// The endpoint that caused the end of the attempt.
@@ -282,6 +318,17 @@
     std::unordered_map<std::uint64_t, running_request> running_;
     std::uint64_t last_crash_ = 0;
     std::uint64_t pause_queries_ = 0;
+    std::shared_ptr<const routing_table> routing_;
+    account_shares account_shares_;
+    account_limits account_limits_;
+    std::map<account_key, std::string> account_names_;
+    std::map<limited_account, refusal_counts> account_refusals_;
+    /// Waiting requests over the share of their account.
+    std::unordered_set<std::uint64_t> over_share_;
+    /// When another node last placed a request of the service that had waited
+    /// and was under the share of its account.
+    std::map<std::string, msec> peers_waited_at_;
+    msec shares_updated_at_ = 0;
 };
 
 } // namespace galenapulley
--- a/src/gateway/dispatcher_peers.cpp
+++ b/src/gateway/dispatcher_peers.cpp
@@ -244,6 +244,7 @@
         if (it.endpoints_size() == 0)
             continue;
         placed.push_back(read_entry(it, node, now));
+        count_peer_use(placed.back(), it, message.complete());
         if (!message.complete())
             count_peer_work(it);
     }
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -61,6 +61,8 @@
     {memory_released, "memory_released", info},
     {handed_over, "handed_over", info},
     {queued, "queued", info},
+    {account_limited, "account_limited", info},
+    {account_limit_ended, "account_limit_ended", info},
     {refused, "refused", info},
     {retried, "sent_again", info},
     {resumed, "resumed", info},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -54,6 +54,8 @@
     memory_released,
     handed_over,
     queued,
+    account_limited,
+    account_limit_ended,
     refused,
     retried,
     resumed,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -345,6 +345,7 @@
 
 void gateway::update_gauges()
 {
+    dispatcher_.end_account_limits();
     metrics_.set(gauge::operations_age_ms,
                  view_.age(cluster_table::operations));
     metrics_.set(gauge::endpoints_age_ms, view_.age(cluster_table::endpoints));
@@ -375,6 +376,9 @@
                  static_cast<std::int64_t>(dispatcher_.waiting()));
     metrics_.set(gauge::running_requests,
                  static_cast<std::int64_t>(dispatcher_.running()));
+    metrics_.set(gauge::limited_accounts,
+                 static_cast<std::int64_t>(dispatcher_.limited_accounts()));
+    metrics_.set_accounts(dispatcher_.account_reports());
     metrics_.set(gauge::log_lines_dropped,
                  static_cast<std::int64_t>(log_.dropped()));
 }
@@ -382,6 +386,7 @@
 void gateway::set_routing(std::shared_ptr<const routing_table> routing)
 {
     has_routing_ = true;
+    dispatcher_.set_routing(routing);
     metrics_.set(gauge::configuration_version,
                  static_cast<std::int64_t>(routing->version()));
     server_.post([this, routing = std::move(routing)]() mutable
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,7 @@
     "peer_bytes_sent",
     "waiting_requests",
     "running_requests",
+    "limited_accounts",
     "open_connections",
     "body_bytes",
     "log_lines_left_out"};
@@ -47,6 +49,12 @@
     return out;
 }
 
+/// Rounded to a tenth of a percent.
+double in_percent(double part)
+{
+    return std::round(part * 1000) / 10;
+}
+
 } // namespace
 
 gateway_metrics::gateway_metrics(counters& registry)
@@ -85,6 +93,12 @@
     serving_set_ = std::move(members);
 }
 
+void gateway_metrics::set_accounts(std::vector<account_report> reports)
+{
+    const std::lock_guard lock(accounts_mutex_);
+    accounts_ = std::move(reports);
+}
+
 void gateway_metrics::count(attempt_outcome outcome)
 {
     outcomes_.increment(static_cast<std::size_t>(outcome));
@@ -117,6 +131,28 @@
     return out.dump();
 }
 
+std::string gateway_metrics::accounts() const
+{
+    auto list = nlohmann::ordered_json::array();
+    const std::lock_guard lock(accounts_mutex_);
+    for (const auto& it : accounts_)
+    {
+        auto refused = nlohmann::ordered_json::array();
+        for (const auto& [kind, n] : it.refused)
+            refused.push_back(fmt::format("{}={}", kind, n));
+        list.push_back({{"service", it.service},
+                        {"account", it.account},
+                        {"share_percent", in_percent(it.share)},
+                        {"use_percent", in_percent(it.use)},
+                        {"use_ms", std::llround(it.use_ms)},
+                        {"waiting", it.waiting},
+                        {"limited", it.limited},
+                        {"refused", std::move(refused)}});
+    }
+    const nlohmann::ordered_json out{{"accounts", std::move(list)}};
+    return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string gateway_metrics::expose() const
 {
     std::string out;
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "galenapulley/accounts/account_report.hpp"
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
 #include "galenapulley/serving_set.hpp"
@@ -13,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace galenapulley
 {
@@ -52,6 +54,7 @@
     peer_bytes_sent,
     waiting_requests,
     running_requests,
+    limited_accounts,
     open_connections,
     body_bytes,
     log_lines_dropped
@@ -69,6 +72,7 @@
     void observe(request_stage stage, msec elapsed);
     void set(gauge which, std::int64_t value);
     void set_serving_set(std::map<std::string, serving_reason> members);
+    void set_accounts(std::vector<account_report> reports);
     void count(attempt_outcome outcome);
     void count(order_result result);
     /// Counts the end of an attempt at another node.
@@ -79,6 +83,8 @@
     std::string expose() const;
     /// All gauges and the serving set as a JSON object, for operators.
     std::string status() const;
+    /// Shares and use of client accounts as a JSON object, for operators.
+    std::string accounts() const;
 
 private:
     static constexpr std::array<msec, 12> bounds{
@@ -98,6 +104,8 @@
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
     mutable std::mutex serving_set_mutex_;
     std::map<std::string, serving_reason> serving_set_;
+    mutable std::mutex accounts_mutex_;
+    std::vector<account_report> accounts_;
 };
 
 } // namespace galenapulley
--- a/src/gateway/work_message.cpp
+++ b/src/gateway/work_message.cpp
@@ -8,6 +8,7 @@
 void write_entry(const placed_work& from, msec now, wire::work_entry& to)
 {
     to.set_request(from.request);
+    to.set_account(from.account);
     for (const auto key : from.endpoints)
         to.add_endpoints(key);
     to.set_prompt_tokens(static_cast<std::uint32_t>(from.prompt_tokens));
@@ -59,6 +60,7 @@
 {
     return {.request = from.request(),
             .node = node,
+            .account = from.account(),
             .endpoints = {from.endpoints().begin(), from.endpoints().end()},
             .prompt_tokens = static_cast<double>(from.prompt_tokens()),
             .output_tokens = static_cast<double>(from.output_tokens()),
--- a/tests/unit/ctl_test.cpp
+++ b/tests/unit/ctl_test.cpp
@@ -144,3 +144,14 @@
                         R"([{"name":"long name","v":1},{"name":"b"}])"));
     BOOST_TEST(out.str() == "NAME       V\nlong name  1\nb          -\n");
 }
+
+BOOST_FIXTURE_TEST_CASE(accounts_are_a_table, fixture)
+{
+    const fake_node node({raw::response(
+        R"({"accounts":[{"service":"s","account":"a","share_percent":50.0,)"
+        R"("waiting":3,"limited":true,"refused":["overloaded=2"]}]})")});
+    BOOST_TEST(run({"accounts"}, {&node}) == 0);
+    BOOST_TEST(node.requests().at(0).rfind("GET /accounts ", 0) == 0U);
+    BOOST_TEST(out.str().find("overloaded=2") != std::string::npos);
+    BOOST_TEST(out.str().find("SHARE_PERCENT") != std::string::npos);
+}
--- a/tests/unit/placement_queue_test.cpp
+++ b/tests/unit/placement_queue_test.cpp
@@ -56,3 +56,22 @@
     BOOST_TEST(queue.unservable(4999).empty());
     BOOST_TEST(queue.unservable(5000).size() == 1U);
 }
+
+// Guards against requests of an account over its share that go before those of
+// others, or before a higher priority.
+BOOST_AUTO_TEST_CASE(requests_over_their_share_go_last_in_their_priority)
+{
+    placement_queue queue;
+    queue.add(entry(1, 300, 10'000));
+    queue.add(entry(2, 900, 10'000));
+    queue.add(entry(3, 100, 10'000));
+    queue.add(entry(4, 50, 10'000, 2));
+    queue.set_over_share({1, 3});
+    const std::vector<std::uint64_t> expected{2, 1, 3, 4};
+    BOOST_TEST(queue.ordered(100) == expected,
+               boost::test_tools::per_element());
+    queue.set_over_share({});
+    const std::vector<std::uint64_t> by_due_time{1, 2, 3, 4};
+    BOOST_TEST(queue.ordered(100) == by_due_time,
+               boost::test_tools::per_element());
+}
