--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -75,6 +75,10 @@
          "Show a gateway's estimates of endpoints; --node is its metrics "
          "address.",
          &ctl_session::show_endpoints},
+    verb{"accounts", "",
+         "Show shares and use of client accounts at a gateway; --node is its "
+         "metrics address.",
+         &ctl_session::show_accounts},
     verb{"nodes", "", "List the nodes that callers may use.",
          &ctl_session::list_nodes},
 };
--- a/src/ctl/ctl_session.cpp
+++ b/src/ctl/ctl_session.cpp
@@ -24,6 +24,7 @@
 const std::string status_path = "/admin/status";
 const std::string gateway_status_path = "/status";
 const std::string gateway_endpoints_path = "/endpoints";
+const std::string gateway_accounts_path = "/accounts";
 
 std::string new_change_id()
 {
@@ -167,6 +168,11 @@
     return show(gateway_endpoints_path);
 }
 
+exit_code ctl_session::show_accounts(const arguments& /*args*/)
+{
+    return show(gateway_accounts_path);
+}
+
 exit_code ctl_session::list_nodes(const arguments& /*args*/)
 {
     return show("/v1/nodes");
--- a/src/galenapulley/placement_queue.cpp
+++ b/src/galenapulley/placement_queue.cpp
@@ -25,6 +25,7 @@
         static_cast<double>(entry.deadline - entry.received_at));
     const waiting_entry added{
         .rank = {.priority = entry.priority,
+                 .over_share = entry.over_share,
                  .first_token_due_at = entry.first_token_due_at,
                  .request = entry.request},
         .late_at = entry.first_token_due_at - entry.min_service_time + 1,
@@ -47,6 +48,20 @@
     entries_.erase(it);
 }
 
+void placement_queue::set_over_share(
+    const std::unordered_set<std::uint64_t>& requests)
+{
+    for (auto& [request, it] : entries_)
+    {
+        const bool over_share = requests.contains(request);
+        if (it.rank.over_share == over_share)
+            continue;
+        order_.erase(it.rank);
+        it.rank.over_share = over_share;
+        order_.insert(it.rank);
+    }
+}
+
 void placement_queue::advance(msec now)
 {
     while (!late_at_.empty() && late_at_.begin()->first <= now)
--- a/src/galenapulley/placement_queue.hpp
+++ b/src/galenapulley/placement_queue.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,8 @@
 {
     std::uint64_t request = 0;
     int priority = 0;
+    /// Its account has used more than its share, see account_shares.
+    bool over_share = false;
     msec received_at = 0;
     /// When the first token is due.
     msec first_token_due_at = 0;
@@ -32,6 +35,7 @@
 struct placement_rank
 {
     int priority = 0;
+    bool over_share = false;
     /// The first token can't be in time any more.
     bool late = false;
     msec first_token_due_at = 0;
@@ -41,8 +45,8 @@
     {
         const auto key = [](const placement_rank& it)
         {
-            return std::tuple(it.priority, it.late, it.first_token_due_at,
-                              it.request);
+            return std::tuple(it.priority, it.over_share, it.late,
+                              it.first_token_due_at, it.request);
         };
         return key(*this) < key(other);
     }
@@ -57,6 +61,8 @@
 public:
     void add(const placement_queue_entry& entry);
     void remove(std::uint64_t request);
+    /// Sets over_share of these requests and clears that of all others.
+    void set_over_share(const std::unordered_set<std::uint64_t>& requests);
     std::size_t size() const { return entries_.size(); }
     bool empty() const { return entries_.empty(); }
 
@@ -69,7 +75,8 @@
     std::optional<placement_rank> first() const;
 
     /// Requests in the order in which they should be placed: by priority, those
-    /// that can be in time before late ones, then earliest due first.
+    /// of accounts over their share last, those that can be in time before late
+    /// ones, then earliest due first.
     std::vector<std::uint64_t> ordered(msec now);
     /// Requests that should be refused now, at most `most`.
     std::vector<std::uint64_t> unservable(msec now,
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -124,6 +124,7 @@
                                             static_cast<double>(max_segments);
     queue_.add({.request = id,
                 .priority = item.priority,
+                .over_share = begins_over_share(item),
                 .received_at = item.received_at,
                 .first_token_due_at =
                     item.received_at + item.matched_route->target_latency,
@@ -267,6 +268,7 @@
                        .expected_first_token_ms = choice.first_token_ms};
     placed_work work{.request = item.id,
                      .node = options_.node,
+                     .account = account_key_of(item.account),
                      .prompt_tokens = item.prompt_tokens,
                      .output_tokens = item.output_tokens,
                      .reserved_tokens = choice.reserved_tokens,
@@ -322,6 +324,7 @@
          {"loss", choice.cost},
          {"waited_ms", now - item.received_at},
          {"configuration", static_cast<std::int64_t>(item.table->version())}});
+    count_use(work, false);
     load_.add(std::move(work), now);
     if (choice.retained_tokens > 0)
         on_prefix_use_(choice.retained_tokens);
@@ -342,6 +345,8 @@
                 {"waited_ms", clock_.now() - item.received_at},
                 {"waiting", static_cast<std::int64_t>(queue_.size())},
                 {"retry_after_ms", refusal.retry_after}});
+    ++account_refusals_[{item.service, account_key_of(item.account)}]
+                       [name_of(refusal.kind)];
     done(std::move(refusal));
 }
 
--- a/src/gateway/dispatcher_waiting.cpp
+++ b/src/gateway/dispatcher_waiting.cpp
@@ -143,6 +143,8 @@
             refuse_waiting(at->request, *std::move(refusal));
             continue;
         }
+        if (is_deferred(item))
+            continue;
         const auto need = need_of(item);
         const auto decision = turn.decide(need);
         if (decision == placement_turn::decision::postpone)
@@ -165,6 +167,7 @@
 
 void dispatcher::place_waiting()
 {
+    refresh_shares();
     queue_.advance(clock_.now());
     const auto turn = run_turn(queue_.first());
     if (!turn.left)
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -56,6 +56,8 @@
     memory_released,
     handed_over,
     queued,
+    account_limited,
+    account_limit_ended,
     refused,
     retried,
     resumed,
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "galenapulley/accounts/account_report.hpp"
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
 #include "galenapulley/serving_set.hpp"
@@ -13,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace galenapulley
 {
@@ -56,6 +58,7 @@
     placement_most_attempts,
     placement_unfinished_turns,
     running_requests,
+    limited_accounts,
     open_connections,
     body_bytes,
     log_lines_dropped
@@ -75,6 +78,7 @@
     void set_serving_set(std::map<std::string, serving_reason> members);
     /// Sets what endpoints() returns.
     void set_endpoints(std::string json);
+    void set_accounts(std::vector<account_report> reports);
     void count(attempt_outcome outcome);
     void count(order_result result);
     /// Counts the end of an attempt at another node.
@@ -90,6 +94,8 @@
     std::string status() const;
     /// The estimates of the endpoints as a JSON object, for operators.
     std::string endpoints() const;
+    /// Shares and use of client accounts as a JSON object, for operators.
+    std::string accounts() const;
 
 private:
     static constexpr std::array<msec, 12> bounds{
@@ -113,6 +119,8 @@
     std::map<std::string, serving_reason> serving_set_;
     mutable std::mutex endpoints_mutex_;
     std::string endpoints_ = "{}";
+    mutable std::mutex accounts_mutex_;
+    std::vector<account_report> accounts_;
 };
 
 } // namespace galenapulley
