Endpoints: tests of long silences and of partitions

Cause: nothing covered clients that leave an endpoint after a long silence, nor results of a node that is partitioned; the test of the last endpoints passed by trials alone. Change: tests for both and a stricter count in the third; at most two endpoints are asked whether they take a request while another one is ejected. Result: dispatcher_estimates_test passes; each new check fails with the rule that it covers removed.

--- a/src/gateway/dispatcher_estimates.cpp
+++ b/src/gateway/dispatcher_estimates.cpp
@@ -103,7 +103,9 @@
         if (!estimates_.is_ejected(it->key))
         {
             kept.push_back(it);
-            takers += may_use(item, *it, load_.load_of(it->key, now)) ? 1 : 0;
+            if (takers < endpoint_estimates::min_remaining &&
+                may_use(item, *it, load_.load_of(it->key, now)))
+                ++takers;
         }
         else if (is_trial_of(item, *it))
             return {it};
--- a/tests/unit/dispatcher_estimates_test.cpp
+++ b/tests/unit/dispatcher_estimates_test.cpp
@@ -234,7 +234,68 @@
     BOOST_TEST_REQUIRE(target.ejects_e1());
     for (const auto* const id : {"e2", "e3", "e4", "e5"})
         target.target.on_announcement(target.key(id), {.retry_after = 3000});
-    BOOST_TEST(target.run(50, attempt_outcome::completed, "/n/")["e1"] > 0);
+    BOOST_TEST(target.run(50, attempt_outcome::completed, "/n/")["e1"] >= 10);
+}
+
+namespace
+{
+
+/// The slowdown of e1 if clients leave so long after the placement there, and
+/// other endpoints send the first token as expected.
+double slowdown_after_silence(msec waited)
+{
+    node target;
+    for (int n = 0; n < 300; ++n)
+    {
+        target.time.advance(interval);
+        const auto grant = target.place();
+        BOOST_TEST_REQUIRE(grant.has_value());
+        const bool silent = grant->primary.id == "e1";
+        const auto expected = static_cast<msec>(grant->expected_first_token_ms);
+        target.time.advance(silent ? waited : expected);
+        if (!silent)
+            target.target.on_first_token(target.next);
+        target.target.on_finished(
+            target.next, {.outcome = silent ? attempt_outcome::client_gone
+                                            : attempt_outcome::completed,
+                          .events = silent ? 0U : 8U,
+                          .connected = true});
+    }
+    BOOST_TEST(!target.ejects_e1());
+    return target.target.estimates().slowdown(target.key("e1"));
+}
+
+} // namespace
+
+// Guards against an endpoint whose clients all leave before it responds, and
+// against clients that leave early for reasons of their own.
+BOOST_AUTO_TEST_CASE(only_a_long_silence_shows_a_slow_endpoint)
+{
+    BOOST_TEST(slowdown_after_silence(2000) > 2);
+    BOOST_TEST(slowdown_after_silence(400) == 1);
+}
+
+// Guards against a node without links to the endpoints that takes them, or
+// lets others take them, for unreliable.
+BOOST_AUTO_TEST_CASE(a_partitioned_node_estimates_nothing)
+{
+    node target;
+    target.run(100, attempt_outcome::completed);
+    BOOST_TEST(target.target.all_work().estimates_size() == 6);
+    for (int n = 0; n < 1000 && !target.target.is_partitioned(); ++n)
+    {
+        target.time.advance(interval);
+        if (target.place())
+            target.target.on_finished(
+                target.next, {.outcome = attempt_outcome::unreachable});
+    }
+    BOOST_TEST_REQUIRE(target.target.is_partitioned());
+    BOOST_TEST(target.target.estimates().ejected() == 0U);
+    BOOST_TEST(target.target.all_work().estimates_size() == 0);
+    for (const auto* const id : {"e1", "e2", "e3"})
+        target.target.on_probe(target.key(id), target.time.now(), true);
+    BOOST_TEST_REQUIRE(!target.target.is_partitioned());
+    BOOST_TEST(target.target.all_work().estimates_size() == 0);
 }
 
 // Guards against a new incarnation that is taken for the one before.
