--- a/tests/standins/standins.cmake
+++ b/tests/standins/standins.cmake
@@ -10,6 +10,8 @@
 add_executable(galenapulley_standin standins/main.cpp)
 target_link_libraries(galenapulley_standin PRIVATE galenapulley_standins
   warnings)
-if(TARGET engine_simulation_test)
-  target_link_libraries(engine_simulation_test PRIVATE galenapulley_standins)
-endif()
+foreach(name engine_simulation_test wait_forecast_test)
+  if(TARGET ${name})
+    target_link_libraries(${name} PRIVATE galenapulley_standins)
+  endif()
+endforeach()
