--- a/tests/unit/dispatcher_prefixes_test.cpp
+++ b/tests/unit/dispatcher_prefixes_test.cpp
@@ -92,6 +92,7 @@
     std::optional<dispatch_grant> ask(const std::vector<std::uint64_t>& shared)
     {
         std::vector<prompt_part> parts;
+        parts.reserve(shared.size());
         for (const auto id : shared)
             parts.push_back(
                 {.id = id,
--- a/tests/unit/prefix_index_test.cpp
+++ b/tests/unit/prefix_index_test.cpp
@@ -25,6 +25,7 @@
                                   std::uint32_t tokens = 1000)
 {
     std::vector<prompt_part> parts;
+    parts.reserve(ids.size());
     for (const auto id : ids)
         parts.push_back({.id = id,
                          .position = static_cast<std::uint32_t>(parts.size()),
--- a/tests/unit/prefix_placement_test.cpp
+++ b/tests/unit/prefix_placement_test.cpp
@@ -80,10 +80,9 @@
 
 std::vector<placement_candidate> random_fleet()
 {
-    std::vector<placement_candidate> out;
-    const auto n = *rc::gen::inRange(0, 10);
-    for (int k = 0; k < n; ++k)
-        out.push_back(random_candidate());
+    std::vector<placement_candidate> out(*rc::gen::inRange<std::size_t>(0, 10));
+    for (auto& it : out)
+        it = random_candidate();
     return out;
 }
 
