Admission: requests that busy engines can't serve in time wait behind others

Cause: after an interruption the queue counted requests as in time that had a few ms left, the time of an idle fleet. Change: with admission_forecast, lateness is decided by the prefill and the passes of busy engines.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "gateway/dispatcher.hpp"
 
+#include "galenapulley/admission/service_time.hpp"
 #include "gateway/event_log.hpp"
 #include "gateway/work_message.hpp"
 
@@ -117,11 +118,6 @@
     if (queue_.empty() && try_place(item, done))
         return;
     const auto id = item.id;
-    const auto* const engine = engine_of(item);
-    const double min_service_ms = engine == nullptr
-                                      ? 0
-                                      : engine->prefill_ms(item.prompt_tokens) /
-                                            static_cast<double>(max_segments);
     queue_.add({.request = id,
                 .priority = item.priority,
                 .over_share = begins_over_share(item),
@@ -129,7 +125,7 @@
                 .first_token_due_at =
                     item.received_at + item.matched_route->target_latency,
                 .deadline = item.deadline,
-                .min_service_time = static_cast<msec>(min_service_ms)});
+                .min_service_time = min_service_time(item)});
     waiting_.emplace(id, waiting_request{std::move(item), std::move(done)});
     place_waiting();
     wake_();
@@ -141,6 +137,20 @@
                     {"waiting", static_cast<std::int64_t>(queue_.size())}});
 }
 
+msec dispatcher::min_service_time(const dispatch_request& item) const
+{
+    const auto* const engine = engine_of(item);
+    if (engine == nullptr)
+        return 0;
+    const auto segments = is_split(*engine, item) ? max_segments : 1;
+    const double ms =
+        options_.admission_forecast
+            ? busy_first_token_ms(*engine, item.prompt_tokens, segments)
+            : engine->prefill_ms(item.prompt_tokens) /
+                  static_cast<double>(max_segments);
+    return static_cast<msec>(ms);
+}
+
 std::size_t
 dispatcher::max_prefill_endpoints(const dispatch_request& item) const
 {
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -372,6 +372,8 @@
     /// Why the service's endpoints couldn't serve the request in time even if
     /// all of them were idle; empty if they could.
     std::string_view infeasible_reason(const dispatch_request& item) const;
+    /// Time to first token below which a waiting request counts as late.
+    msec min_service_time(const dispatch_request& item) const;
     /// Number of endpoints that may prefill segments of the prompt.
     std::size_t max_prefill_endpoints(const dispatch_request& item) const;
 
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -52,7 +52,8 @@
     /// of the deployment, and is off where none asks for it.
     struct load_decisions
     {
-        /// Requests are admitted, and ordered, by a forecast of their wait.
+        /// Waiting requests are ordered by the time to first token that busy
+        /// engines need.
         std::optional<bool> admission_forecast{};
         /// Client accounts share endpoints fairly while requests wait.
         std::optional<bool> account_shares{};
