--- a/tests/unit/endpoint_estimates_test.cpp
+++ b/tests/unit/endpoint_estimates_test.cpp
@@ -229,7 +229,7 @@
     fleet.succeed(3, 20);
     BOOST_TEST(fleet.evaluate().size() == 1U);
     BOOST_TEST(fleet.ejected().empty());
-    // 0.25 of the failures and two more lie between the thresholds again.
+    // Three more failures, 5.5 / (31 + 4), lie between them again.
     fleet.fail(3, 3);
     fleet.evaluate();
     BOOST_TEST(fleet.ejected().empty());
