Gateway: limits of clients' connections, input and unread responses

Cause: a client could hold any number of idle or half-open connections, and the kernel kept megabytes of each response that was not read.

Change: client_table bounds connections per address and in total (from the descriptor limit) and closes the longest idle one first; responses without progress are reset, with what the kernel holds; input that no request has taken is bounded per connection and in total; kernel buffers are 32 KB each way. Readiness checks and metrics have connections of their own. A request whose connection was closed before it was taken no longer runs.

The effect on an ordinary client's share of requests beside endless header lines is not measured.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/string.hpp>
 
 #include <xxhash.h>
@@ -58,11 +58,13 @@
 
 client_connection::client_connection(traffic_state& state,
                                      asio::ip::tcp::socket socket,
-                                     listener_role role)
+                                     listener_role role,
+                                     client_table::connection_id id)
     : state_(state)
     , socket_(std::move(socket))
     , wake_(state.io)
     , reader_(state.body_memory)
+    , id_(id)
     , role_(role)
 {
     ++state_.open_connections;
@@ -74,6 +76,8 @@
 client_connection::~client_connection()
 {
     --state_.open_connections;
+    state_.input_bytes -= input_bytes_;
+    table().close(id_);
 }
 
 asio::awaitable<void> client_connection::serve()
@@ -94,6 +98,7 @@
     }
     boost::system::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    co_await drain();
     socket_.close(ignored);
 }
 
@@ -115,6 +120,23 @@
     boost::system::error_code ignored;
     socket_.close(ignored);
     wake_.cancel();
+    if (forwarded_ != nullptr)
+        forwarded_->on_client_gone();
+}
+
+void client_connection::reset()
+{
+    drop_at_close(socket_);
+    abort();
+}
+
+void client_connection::observe_unread()
+{
+    const auto held = unacknowledged_bytes(socket_);
+    // The kernel counts the end of the connection as a byte, too.
+    table().set_unread(id_, unsent_ + held,
+                       sent_ - std::min<std::uint64_t>(sent_, held),
+                       state_.time.now());
 }
 
 bool client_connection::closes_after(const client_request& request) const
@@ -234,9 +256,19 @@
     parts.emplace_back(asio::buffer(head));
     for (const auto& it : body.blocks())
         parts.emplace_back(asio::buffer(it));
+    beast::buffers_suffix<std::vector<asio::const_buffer>> rest(parts);
+    unsent_ = asio::buffer_size(parts);
     boost::system::error_code ec;
-    co_await asio::async_write(socket_, parts,
-                               redirect_error(use_awaitable, ec));
+    while (unsent_ > 0 && !ec)
+    {
+        const auto n = co_await socket_.async_write_some(
+            rest, redirect_error(use_awaitable, ec));
+        rest.consume(n);
+        unsent_ -= n;
+        sent_ += n;
+        observe_unread();
+    }
+    unsent_ = 0;
     if (ec)
         disconnected_ = true;
     co_return !disconnected_;
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -20,22 +20,13 @@
 
 class forwarding;
 
-/// What a listener serves.
-enum class listener_role
-{
-    traffic,
-    ready,
-    directory,
-    metrics
-};
-
 /// An HTTP connection of a client. Requests are served one at a time;
 /// pipelined requests wait in the reader.
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
     client_connection(traffic_state& state, boost::asio::ip::tcp::socket socket,
-                      listener_role role);
+                      listener_role role, client_table::connection_id id);
     ~client_connection();
 
     client_connection(const client_connection&) = delete;
@@ -48,6 +39,10 @@
     void end_request();
     /// Closes the connection at once.
     void abort();
+    /// Closes the connection at once and drops what the client has not read.
+    void reset();
+    /// Tells the table of connections what the client has not read.
+    void observe_unread();
 
     /// Whether the client of the current request has disconnected.
     bool client_gone() const { return disconnected_; }
@@ -75,7 +70,16 @@
     /// Refuses a request that can't be read.
     boost::asio::awaitable<void> reject();
     boost::asio::awaitable<void> refuse_late();
+    boost::asio::awaitable<void> refuse_input();
     client_limits limits() const;
+    /// Accounts for the input at hand, and for what the kernel may keep of a
+    /// client that sends more than is read. False if it is too much.
+    bool account_input();
+    /// Whether the input of this client may grow.
+    bool may_read_on() const;
+    client_table& table() { return state_.table_of(role_); }
+    /// Waits until the client's host has the last response.
+    boost::asio::awaitable<void> drain();
     read_state read_buffered();
 
     boost::asio::awaitable<bool> serve_request(client_request request);
@@ -92,10 +96,19 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer wake_;
     request_reader reader_;
+    client_table::connection_id id_;
+    /// Bytes of a response that the kernel has not taken yet.
+    std::size_t unsent_ = 0;
+    /// Bytes that the kernel has taken.
+    std::uint64_t sent_ = 0;
+    /// The part of traffic_state::input_bytes that is due to this client.
+    std::size_t input_bytes_ = 0;
     listener_role role_;
     bool reading_ = false;
     bool disconnected_ = false;
     bool serving_ = false;
+    /// All responses are sent; what the client sends is dropped.
+    bool draining_ = false;
     /// At least one request was served on this connection.
     bool served_ = false;
     /// The request being forwarded; it is ended when the client disconnects.
--- a/src/gateway/client_connection_reading.cpp
+++ b/src/gateway/client_connection_reading.cpp
@@ -1,6 +1,7 @@
 #include "gateway/client_connection.hpp"
 
 #include "gateway/forwarding.hpp"
+#include "gateway/socket_options.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -24,9 +25,11 @@
 namespace
 {
 
-/// Limit of the bytes that are read ahead while a request is served
-/// (pipelining).
-constexpr std::size_t max_pipelined_bytes = std::size_t{256} * 1024;
+/// What the kernel may keep for a connection that isn't read.
+constexpr std::size_t kernel_bytes = std::size_t{64} * 1024;
+/// Input of a client up to this size is kept also where that of all clients
+/// exceeds its limit, so that ordinary requests are served beside floods.
+constexpr std::size_t small_input_bytes = std::size_t{4} * 1024;
 /// Time for a body to arrive after its head.
 constexpr msec body_timeout = 10'000;
 
@@ -39,7 +42,7 @@
 
 void client_connection::start_reading()
 {
-    if (reading_ || disconnected_ || reader_.buffered() >= max_pipelined_bytes)
+    if (reading_ || disconnected_ || !may_read_on())
         return;
     reading_ = true;
     // Only waits: no buffer is lent to a pending operation.
@@ -56,7 +59,14 @@
     {
         auto& landing = state_.landing;
         const auto n = socket_.read_some(asio::buffer(landing), ec);
-        reader_.feed({landing.data(), n});
+        if (!draining_)
+            reader_.feed({landing.data(), n});
+    }
+    if (serving_ && !account_input())
+    {
+        state_.on_limit(client_limit::input_bytes);
+        reset();
+        return;
     }
     if (ec && ec != asio::error::would_block)
     {
@@ -66,7 +76,8 @@
     }
     else if (serving_)
         start_reading();
-    wake_.cancel();
+    if (!draining_ || disconnected_)
+        wake_.cancel();
 }
 
 asio::awaitable<bool> client_connection::wait_for_bytes(msec limit)
@@ -78,6 +89,24 @@
     co_return ec == asio::error::operation_aborted;
 }
 
+bool client_connection::may_read_on() const
+{
+    // A head has to fit in whole.
+    return reader_.buffered() <
+           std::max(state_.bounds.input_bytes, 2 * limits().header_bytes);
+}
+
+bool client_connection::account_input()
+{
+    const auto bytes =
+        reader_.memory() + (may_read_on() ? std::size_t{0} : kernel_bytes);
+    state_.input_bytes += bytes - input_bytes_;
+    const bool grown = bytes > input_bytes_;
+    input_bytes_ = bytes;
+    return !grown || bytes <= small_input_bytes ||
+           state_.input_bytes <= state_.bounds.input_bytes_total;
+}
+
 client_limits client_connection::limits() const
 {
     return state_.routing ? state_.routing->limits() : client_limits{};
@@ -86,13 +115,15 @@
 read_state client_connection::read_buffered()
 {
     const auto bounds = limits();
-    return reader_.read(
-        {.header_bytes = bounds.header_bytes, .body_bytes = bounds.body_bytes});
+    return reader_.read({.header_bytes = bounds.header_bytes,
+                         .body_bytes = bounds.body_bytes,
+                         .empty_lines = state_.bounds.empty_lines});
 }
 
 asio::awaitable<bool> client_connection::wait_for_request()
 {
     const auto idle_end = state_.time.now() + limits().idle_timeout;
+    table().set_stage(id_, client_table::stage::idle, state_.time.now());
     while (read_buffered() == read_state::idle)
     {
         const auto left = idle_end - state_.time.now();
@@ -109,7 +140,8 @@
     if (!co_await wait_for_request())
         co_return std::nullopt;
     const auto received_at = state_.time.now();
-    if (!co_await read_message())
+    // A request whose connection was closed meanwhile isn't run.
+    if (!co_await read_message() || disconnected_)
         co_return std::nullopt;
     auto out = reader_.take();
     out.received_at = received_at;
@@ -120,9 +152,18 @@
 {
     auto time_limit = state_.time.now() + limits().header_timeout;
     bool had_header = false;
+    table().set_stage(id_, client_table::stage::head, state_.time.now());
     for (;;)
     {
         const auto state = read_buffered();
+        if (!account_input())
+        {
+            co_await refuse_input();
+            co_return false;
+        }
+        if (state == read_state::complete || state == read_state::body)
+            table().set_stage(id_, client_table::stage::busy,
+                              state_.time.now());
         if (state == read_state::complete)
             co_return true;
         if (state == read_state::failed)
@@ -144,6 +185,8 @@
         const auto left = time_limit - state_.time.now();
         if (left <= 0)
         {
+            state_.on_limit(had_header ? client_limit::body_time
+                                       : client_limit::head_time);
             co_await refuse_late();
             co_return false;
         }
@@ -157,10 +200,20 @@
                     "the request did not arrive in time", 0, false);
 }
 
+asio::awaitable<void> client_connection::refuse_input()
+{
+    constexpr auto kind = error_kind::overloaded;
+    state_.on_limit(client_limit::input_bytes);
+    co_await refuse(kind, "no memory for the request's head",
+                    error_response_for(kind).retry_after, false);
+}
+
 asio::awaitable<void> client_connection::reject()
 {
     const auto kind = reader_.failure();
     const auto reason = reader_.failure_reason();
+    if (reader_.exceeded())
+        state_.on_limit(*reader_.exceeded());
     // Only this one may succeed when it is repeated.
     const bool refused = kind == error_kind::overloaded;
     if (refused)
@@ -169,4 +222,19 @@
                     refused ? error_response_for(kind).retry_after : 0, false);
 }
 
+asio::awaitable<void> client_connection::drain()
+{
+    constexpr msec look_again = 20;
+    draining_ = true;
+    table().set_stage(id_, client_table::stage::busy, state_.time.now());
+    while (!disconnected_ && unacknowledged_bytes(socket_) > 0)
+    {
+        observe_unread();
+        co_await wait_for_bytes(look_again);
+    }
+    // Nobody reads the rest, which the kernel would go on to keep.
+    if (disconnected_ && unacknowledged_bytes(socket_) > 0)
+        drop_at_close(socket_);
+}
+
 } // namespace galenapulley
--- a/src/gateway/client_connection_services.cpp
+++ b/src/gateway/client_connection_services.cpp
@@ -67,6 +67,11 @@
                        static_cast<std::int64_t>(state_.body_memory.used()));
     state_.metrics.set(gauge::open_connections,
                        static_cast<std::int64_t>(state_.open_connections));
+    state_.metrics.set(gauge::client_input_bytes,
+                       static_cast<std::int64_t>(state_.input_bytes));
+    state_.metrics.set(
+        gauge::client_unread_bytes,
+        static_cast<std::int64_t>(state_.clients.unread_bytes()));
     if (request.path() == status_path)
     {
         auto status = state_.metrics.status();
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -54,6 +54,7 @@
     {endpoint_leaving, "endpoint_leaving", info},
     {partitioned, "partitioned", warn},
     {partition_ended, "partition_ended", info},
+    {client_limited, "client_limited", info},
     {request_read, "request_read", debug},
     {placed, "placed", info},
     {memory_reserved, "memory_set_aside", info},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -47,6 +47,7 @@
     endpoint_leaving,
     partitioned,
     partition_ended,
+    client_limited,
     request_read,
     placed,
     memory_reserved,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,7 +118,8 @@
                .next_request = static_cast<std::uint64_t>(incarnation_) << 20 ^
                                std::hash<std::string>{}(settings_.node) << 44,
                .body_memory = memory_budget((settings_.memory_mb << 20) /
-                                            body_memory_divisor)}
+                                            body_memory_divisor),
+               .bounds = make_client_bounds(settings_, descriptor_limit())}
     , server_(traffic_)
     , last_settings_change_(modified_at(settings_path_))
 {
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -36,6 +36,8 @@
     "running_requests",
     "open_connections",
     "body_bytes",
+    "client_input_bytes",
+    "client_unread_bytes",
     "log_lines_left_out"};
 constexpr double ms_per_second = 1000;
 
@@ -47,6 +49,14 @@
     return out;
 }
 
+std::vector<std::string> limit_names()
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < client_limit_count; ++n)
+        out.emplace_back(name_of(static_cast<client_limit>(n)));
+    return out;
+}
+
 } // namespace
 
 gateway_metrics::gateway_metrics(counters& registry)
@@ -62,6 +72,9 @@
     , handovers_(registry.add("galenapulley_handovers_total",
                               "Requests handed over to other nodes by outcome",
                               "outcome", outcome_names()))
+    , client_limits_(registry.add("galenapulley_client_limits_total",
+                                  "Clients refused or closed by limit", "limit",
+                                  limit_names()))
 {
 }
 
@@ -100,6 +113,11 @@
     handovers_.increment(static_cast<std::size_t>(outcome));
 }
 
+void gateway_metrics::count(client_limit cause)
+{
+    client_limits_.increment(static_cast<std::size_t>(cause));
+}
+
 void gateway_metrics::count_response(int status)
 {
     const auto group = static_cast<std::size_t>(status / 100);
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "galenapulley/clients/client_limit.hpp"
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
 #include "galenapulley/serving_set.hpp"
@@ -54,6 +55,8 @@
     running_requests,
     open_connections,
     body_bytes,
+    client_input_bytes,
+    client_unread_bytes,
     log_lines_dropped
 };
 
@@ -74,6 +77,8 @@
     /// Counts the end of an attempt at another node.
     void count_handover(attempt_outcome outcome);
     void count_response(int status);
+    /// Counts a client that was refused or closed.
+    void count(client_limit cause);
 
     /// Histograms and gauges in the metrics text format.
     std::string expose() const;
@@ -94,6 +99,7 @@
     counter_family& responses_;
     counter_family& orders_;
     counter_family& handovers_;
+    counter_family& client_limits_;
     std::array<histogram, request_stage_count> histograms_;
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
     mutable std::mutex serving_set_mutex_;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -25,6 +25,26 @@
     return reader.flag(key);
 }
 
+gateway_settings::client_settings read_clients(object_reader& reader)
+{
+    constexpr double most = 1'000'000;
+    const auto count = [&](const char* key, double least, double preset)
+    {
+        return static_cast<std::uint64_t>(
+            reader.decimal(key, least, most, preset));
+    };
+    gateway_settings::client_settings out;
+    out.connections = count("client_connections", 0, 0);
+    out.address_connections = count("client_connections_per_address", 0, 0);
+    out.input_kb = count("client_input_kb", 20, 64);
+    out.input_total_kb = count("client_input_total_kb", 0, 0);
+    out.empty_lines = count("client_empty_lines", 1, 8);
+    out.unread_kb = count("client_unread_kb", 0, 0);
+    out.unread_timeout = static_cast<msec>(
+        reader.decimal("client_unread_ms", 500, 60'000, 8000));
+    return out;
+}
+
 } // namespace
 
 std::uint32_t capacity_of(const gateway_settings& settings)
@@ -71,6 +91,7 @@
         .admission_forecast = optional_flag(reader, "admission_forecast"),
         .account_shares = optional_flag(reader, "account_shares"),
         .endpoint_estimates = optional_flag(reader, "endpoint_estimates")};
+    out.clients = read_clients(reader);
     out.contracts = reader.names("contracts", name_rule, false);
     out.is_bootstrap = reader.flag("bootstrap", false);
     out.log_level = reader.choice("log_level", log_levels, std::string("info"));
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -60,6 +60,22 @@
         std::optional<bool> endpoint_estimates{};
     };
     load_decisions decisions{};
+    /// Limits of clients' connections; 0 where they are derived from the limits
+    /// of descriptors and memory (client_bounds).
+    struct client_settings
+    {
+        std::uint64_t connections = 0;
+        std::uint64_t address_connections = 0;
+        /// Input that no request has taken, of one connection and of all.
+        std::uint64_t input_kb = 64;
+        std::uint64_t input_total_kb = 0;
+        std::uint64_t empty_lines = 8;
+        /// Bytes of responses that clients don't read.
+        std::uint64_t unread_kb = 0;
+        /// Time without progress after which an unread response is given up.
+        msec unread_timeout = 8000;
+    };
+    client_settings clients{};
     /// What the deployment asks for, in the platform's words.
     std::vector<std::string> contracts;
     /// The whole fleet starts, not only this node.
--- a/src/gateway/request_reader.cpp
+++ b/src/gateway/request_reader.cpp
@@ -76,8 +76,10 @@
     return state_ == read_state::idle && buffered() == 0;
 }
 
-read_state request_reader::fail(error_kind kind, std::string_view reason)
+read_state request_reader::fail(error_kind kind, std::string_view reason,
+                                std::optional<client_limit> exceeded)
 {
+    exceeded_ = exceeded;
     failure_ = kind;
     failure_reason_ = reason;
     return read_state::failed;
@@ -102,7 +104,8 @@
     for (; bytes.starts_with("\r\n"); bytes.remove_prefix(2))
         if (++empty_lines_ > limits.empty_lines)
             return fail(error_kind::bad_request,
-                        "too many empty lines before the request");
+                        "too many empty lines before the request",
+                        client_limit::empty_lines);
     drop(buffered() - bytes.size());
     // Some clients send an empty line after a body.
     return bytes.empty() ? read_state::idle : read_state::head;
@@ -121,7 +124,8 @@
         searched_ = end == bytes.npos ? bytes.size() : end + 1;
         if (searched_ > limits.header_bytes)
             return fail(error_kind::headers_too_large,
-                        "the request's head is too large");
+                        "the request's head is too large",
+                        client_limit::head_size);
         if (end == bytes.npos)
             return read_state::head;
         const auto line = bytes.substr(line_begin_, searched_ - line_begin_);
@@ -164,7 +168,8 @@
     max_body_ = limits.body_bytes;
     length_ = parser.content_length().value_or(0);
     if (length_ > max_body_)
-        return fail(error_kind::body_too_large, "the body is too large");
+        return fail(error_kind::body_too_large, "the body is too large",
+                    client_limit::body_size);
     if (parser.chunked())
         chunks_.emplace(limits.header_bytes);
     expects_continue_ =
@@ -199,10 +204,12 @@
             return fail(error_kind::bad_request, "invalid chunked body");
         if (at == chunked_body::state::too_long)
             return fail(error_kind::headers_too_large,
-                        "chunk extensions or trailer fields are too large");
+                        "chunk extensions or trailer fields are too large",
+                        client_limit::head_size);
         if (at == chunked_body::state::data &&
             chunks_->chunk_left() > max_body_ - request_.body.size())
-            return fail(error_kind::body_too_large, "the body is too large");
+            return fail(error_kind::body_too_large, "the body is too large",
+                        client_limit::body_size);
         if (at == chunked_body::state::data && !bytes.empty())
         {
             if (append(chunks_->take_data(bytes)) == read_state::failed)
@@ -218,7 +225,8 @@
 read_state request_reader::append(std::string_view bytes)
 {
     if (!reserve(request_.body.size() + bytes.size()))
-        return fail(error_kind::overloaded, "no memory for the request's body");
+        return fail(error_kind::overloaded, "no memory for the request's body",
+                    client_limit::body_memory);
     request_.body += bytes;
     return read_state::body;
 }
--- a/src/gateway/request_reader.hpp
+++ b/src/gateway/request_reader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "galenapulley/clients/client_limit.hpp"
 #include "galenapulley/error_kind.hpp"
 #include "galenapulley/memory_budget.hpp"
 #include "gateway/chunked_body.hpp"
@@ -54,17 +55,22 @@
     bool is_idle() const;
     /// Bytes that no request has taken yet.
     std::size_t buffered() const { return in_.size() - taken_; }
+    /// Memory of those bytes.
+    std::size_t memory() const { return in_.capacity(); }
     /// Whether the client waits for an interim response before it sends the
     /// body.
     bool expects_continue() const { return expects_continue_; }
     /// Why reading failed.
     error_kind failure() const { return failure_; }
     std::string_view failure_reason() const { return failure_reason_; }
+    /// The limit that was exceeded, if any was.
+    std::optional<client_limit> exceeded() const { return exceeded_; }
 
 private:
     std::string_view rest() const;
     void drop(std::size_t n);
-    read_state fail(error_kind kind, std::string_view reason);
+    read_state fail(error_kind kind, std::string_view reason,
+                    std::optional<client_limit> exceeded = std::nullopt);
     read_state skip_empty_lines(const reader_limits& limits);
     /// Looks for the end of the head in the bytes that it has not seen yet.
     read_state find_head(const reader_limits& limits);
@@ -93,6 +99,7 @@
     bool expects_continue_ = false;
     error_kind failure_ = error_kind::bad_request;
     std::string_view failure_reason_;
+    std::optional<client_limit> exceeded_;
 };
 
 } // namespace galenapulley
--- a/src/gateway/socket_options.cpp
+++ b/src/gateway/socket_options.cpp
@@ -1,7 +1,9 @@
 #include "gateway/socket_options.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <charconv>
@@ -30,6 +32,9 @@
 
 /// By default a socket may hold megabytes.
 constexpr int received_bytes = 64 * 1024;
+/// Of each direction of a client's connection. The kernel doubles it for its
+/// own overhead; at a round trip of 10 ms it allows 3 MB/s.
+constexpr int client_bytes = 32 * 1024;
 
 /// Unanswered probes that close a connection; one may be lost.
 constexpr int probes_before_close = 2;
@@ -66,6 +71,29 @@
                       ignored);
 }
 
+void limit_kernel_buffers(asio::ip::tcp::acceptor& acceptor)
+{
+    boost::system::error_code ignored;
+    acceptor.set_option(asio::socket_base::receive_buffer_size(client_bytes),
+                        ignored);
+    acceptor.set_option(asio::socket_base::send_buffer_size(client_bytes),
+                        ignored);
+}
+
+std::size_t unacknowledged_bytes(asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(bytes);
+}
+
+void drop_at_close(asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void set_silence_limit(asio::ip::tcp::socket& socket, msec limit)
 {
     // The idle time before the first probe, and the pause after each probe.
--- a/src/gateway/socket_options.hpp
+++ b/src/gateway/socket_options.hpp
@@ -22,6 +22,17 @@
 /// called before the socket connects.
 void limit_received_bytes(boost::asio::ip::tcp::socket& socket);
 
+/// Bounds the bytes that the kernel keeps, both ways, for each connection that
+/// is accepted. To be called before the acceptor listens.
+void limit_kernel_buffers(boost::asio::ip::tcp::acceptor& acceptor);
+
+/// Bytes that the peer has not acknowledged yet.
+std::size_t unacknowledged_bytes(boost::asio::ip::tcp::socket& socket);
+
+/// Has the next close drop what the peer has not read, which the kernel would
+/// keep otherwise.
+void drop_at_close(boost::asio::ip::tcp::socket& socket);
+
 /// Closes the connection once the peer's host has acknowledged nothing for
 /// about `limit`, which should be some seconds. An idle connection is probed
 /// with TCP keep-alives, which a host answers however busy its processes are.
--- a/src/gateway/traffic_server.cpp
+++ b/src/gateway/traffic_server.cpp
@@ -24,11 +24,26 @@
 constexpr int accept_backlog = 256;
 /// Pause after a failed accept, for example when no descriptor is free.
 constexpr std::chrono::milliseconds accept_pause{20};
+/// How often connections with unread responses are looked at.
+constexpr std::chrono::milliseconds sweep_period{250};
+
+/// Tells the client, if it can be told at once, that nothing has run.
+void refuse(asio::ip::tcp::socket& socket)
+{
+    static const std::string text =
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+        "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(text), ignored);
+}
 
 } // namespace
 
 traffic_server::traffic_server(traffic_state& state)
-    : state_(state), work_(asio::make_work_guard(state.io))
+    : state_(state)
+    , work_(asio::make_work_guard(state.io))
+    , sweep_timer_(state.io)
 {
 }
 
@@ -46,6 +61,7 @@
     it.open(parsed->protocol());
     it.set_option(asio::socket_base::reuse_address(true));
     it.bind(*parsed);
+    limit_kernel_buffers(it);
     it.listen(accept_backlog);
     asio::co_spawn(state_.io, accept(it, role), asio::detached);
 }
@@ -67,23 +83,83 @@
                 asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        auto connection = std::make_shared<client_connection>(
-            state_, std::move(socket), role);
-        if (connections_.size() >= prune_threshold_)
-        {
-            std::erase_if(connections_,
-                          [](const auto& it) { return it.expired(); });
-            prune_threshold_ = 2 * connections_.size() + 64;
-        }
-        connections_.push_back(connection);
-        asio::co_spawn(
-            state_.io, [connection] { return connection->serve(); },
-            asio::detached);
+        admit(std::move(socket), role);
     }
 }
 
+void traffic_server::admit(asio::ip::tcp::socket socket, listener_role role)
+{
+    boost::system::error_code ec;
+    const auto peer = socket.remote_endpoint(ec);
+    if (ec)
+        return;
+    const auto id = ++last_connection_;
+    const auto verdict = state_.table_of(role).open(
+        id, peer.address().to_string(), state_.time.now());
+    if (verdict.refused)
+    {
+        state_.on_limit(*verdict.refused);
+        refuse(socket);
+        return;
+    }
+    if (verdict.replaced)
+        close(*verdict.replaced);
+    auto connection = std::make_shared<client_connection>(
+        state_, std::move(socket), role, id);
+    if (connections_.size() >= prune_threshold_)
+    {
+        std::erase_if(connections_,
+                      [](const auto& it) { return it.second.expired(); });
+        prune_threshold_ = 2 * connections_.size() + 64;
+    }
+    connections_.emplace(id, connection);
+    asio::co_spawn(
+        state_.io, [connection] { return connection->serve(); },
+        asio::detached);
+}
+
+void traffic_server::close(const client_table::closing& which)
+{
+    const auto it = connections_.find(which.id);
+    const auto connection =
+        it == connections_.end() ? nullptr : it->second.lock();
+    if (connection == nullptr)
+        return;
+    state_.on_limit(which.cause);
+    connection->reset();
+}
+
+void traffic_server::close_stuck(client_table& among)
+{
+    for (const auto id : among.unread())
+    {
+        const auto it = connections_.find(id);
+        if (it == connections_.end())
+            continue;
+        if (const auto connection = it->second.lock())
+            connection->observe_unread();
+    }
+    for (const auto& it : among.take_stuck(state_.time.now()))
+        close(it);
+}
+
+void traffic_server::start_sweep()
+{
+    sweep_timer_.expires_after(sweep_period);
+    sweep_timer_.async_wait(
+        [this](const boost::system::error_code& ec)
+        {
+            if (ec)
+                return;
+            close_stuck(state_.clients);
+            close_stuck(state_.operators);
+            start_sweep();
+        });
+}
+
 void traffic_server::start()
 {
+    start_sweep();
     thread_ = std::thread([this] { state_.io.run(); });
 }
 
@@ -101,7 +177,7 @@
 
 void traffic_server::close_idle()
 {
-    for (const auto& it : connections_)
+    for (const auto& [id, it] : connections_)
         if (const auto connection = it.lock())
             connection->close_if_idle();
 }
@@ -110,7 +186,7 @@
 {
     // Ending a request may remove its connection.
     const auto connections = connections_;
-    for (const auto& it : connections)
+    for (const auto& [id, it] : connections)
         if (const auto connection = it.lock())
             connection->end_request();
 }
--- a/src/gateway/traffic_server.hpp
+++ b/src/gateway/traffic_server.hpp
@@ -7,13 +7,14 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <list>
 #include <memory>
 #include <string>
 #include <thread>
-#include <vector>
+#include <unordered_map>
 
 namespace galenapulley
 {
@@ -43,12 +44,22 @@
 private:
     boost::asio::awaitable<void> accept(boost::asio::ip::tcp::acceptor& on,
                                         listener_role role);
+    /// Serves a new connection, or refuses it where a limit is reached.
+    void admit(boost::asio::ip::tcp::socket socket, listener_role role);
+    void close(const client_table::closing& which);
+    /// Closes connections whose clients don't read.
+    void close_stuck(client_table& among);
+    void start_sweep();
 
     traffic_state& state_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         work_;
     std::list<boost::asio::ip::tcp::acceptor> acceptors_;
-    std::vector<std::weak_ptr<client_connection>> connections_;
+    std::unordered_map<client_table::connection_id,
+                       std::weak_ptr<client_connection>>
+        connections_;
+    client_table::connection_id last_connection_ = 0;
+    boost::asio::steady_timer sweep_timer_;
     std::size_t prune_threshold_ = 64;
     std::thread thread_;
 };
--- a/src/gateway/traffic_state.hpp
+++ b/src/gateway/traffic_state.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "galenapulley/clients/client_table.hpp"
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
 #include "galenapulley/directory_sampler.hpp"
 #include "galenapulley/membership.hpp"
 #include "galenapulley/memory_budget.hpp"
 #include "galenapulley/routing_table.hpp"
+#include "gateway/client_bounds.hpp"
 #include "gateway/dispatcher_proxy.hpp"
 #include "gateway/event_log.hpp"
 #include "gateway/gateway_metrics.hpp"
@@ -25,6 +27,15 @@
 namespace galenapulley
 {
 
+/// What a listener serves.
+enum class listener_role
+{
+    traffic,
+    ready,
+    directory,
+    metrics
+};
+
 /// State shared by all connections. Used on the traffic thread only.
 struct traffic_state
 {
@@ -51,8 +62,17 @@
     bool refusing = false;
     /// Memory for the bodies of requests and responses.
     memory_budget body_memory;
+    client_bounds bounds{};
+    client_table clients{bounds.clients};
+    client_table operators{bounds.operators};
+    /// Memory of input that no request has taken.
+    std::size_t input_bytes = 0;
     std::size_t open_connections = 0;
     std::size_t open_requests = 0;
+    /// Counts and logs a client that is refused or closed.
+    void on_limit(client_limit cause);
+    /// The connections that share limits with those of the listener.
+    client_table& table_of(listener_role role);
     /// Where bytes of a client arrive; its connection takes them at once.
     std::array<char, std::size_t{16} * 1024> landing{};
 };
--- a/tests/gateway/gateway_misbehaving_clients_test.cpp
+++ b/tests/gateway/gateway_misbehaving_clients_test.cpp
@@ -36,7 +36,12 @@
 /// The limits under test.
 std::string lowered_limits()
 {
-    return nlohmann::json{{"memory_mb", memory_mb}}.dump();
+    return nlohmann::json{{"memory_mb", memory_mb},
+                          {"client_connections", max_connections},
+                          {"client_input_total_kb", 2048},
+                          {"client_unread_kb", 2048},
+                          {"client_unread_ms", 2000}}
+        .dump();
 }
 
 std::string sample_limits()
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/client_bounds.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "platform_adapter.hpp"
 
@@ -66,6 +67,47 @@
     BOOST_TEST(overloaded->decisions.endpoint_estimates.value_or(false));
 }
 
+// Guards against limits of clients that take the descriptors or the memory that
+// the node needs for itself, or that clients within the documented limits meet.
+BOOST_AUTO_TEST_CASE(client_limits_follow_from_descriptors_and_memory)
+{
+    const auto small = parse_gateway_settings(sample(R"(,"memory_mb":112)"));
+    BOOST_TEST_REQUIRE(small.ok());
+    for (const std::size_t descriptors : {64U, 1024U, 2870U, 8192U})
+    {
+        const auto bounds = make_client_bounds(*small, descriptors);
+        BOOST_TEST(bounds.clients.connections <= descriptors * 3 / 4);
+        BOOST_TEST(bounds.clients.connections >= descriptors / 2);
+        BOOST_TEST(bounds.clients.connections_per_address <
+                   bounds.clients.connections);
+        BOOST_TEST(bounds.clients.unread_bytes == std::size_t{14} << 20);
+        BOOST_TEST(bounds.input_bytes_total == std::size_t{14} << 20);
+        BOOST_TEST(bounds.input_bytes >= 2 * client_limits{}.header_bytes);
+    }
+    BOOST_TEST(
+        make_client_bounds(*small, 2870).clients.connections_per_address >
+        1000U);
+}
+
+BOOST_AUTO_TEST_CASE(client_limits_can_be_set)
+{
+    const auto settings = parse_gateway_settings(
+        sample(R"(,"client_connections":10,"client_connections_per_address":5,)"
+               R"("client_input_kb":32,"client_input_total_kb":100,)"
+               R"("client_empty_lines":3,"client_unread_kb":200,)"
+               R"("client_unread_ms":1500)"));
+    BOOST_TEST_REQUIRE(settings.ok());
+    const auto bounds = make_client_bounds(*settings, 1024);
+    BOOST_TEST(bounds.clients.connections == 10U);
+    BOOST_TEST(bounds.clients.connections_per_address == 5U);
+    BOOST_TEST(bounds.clients.unread_bytes == 200U * 1024);
+    BOOST_TEST(bounds.clients.unread_timeout == 1500);
+    BOOST_TEST(bounds.operators.connections > 10U);
+    BOOST_TEST(bounds.input_bytes == 32U * 1024);
+    BOOST_TEST(bounds.input_bytes_total == 100U * 1024);
+    BOOST_TEST(bounds.empty_lines == 3U);
+}
+
 // Guards against a node that starts with an invalid or unknown setting.
 BOOST_AUTO_TEST_CASE(invalid_settings_are_reported)
 {
