--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -49,6 +49,7 @@
     endpoint_reinstated,
     partitioned,
     partition_ended,
+    client_limited,
     request_read,
     placed,
     memory_reserved,
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -42,6 +42,8 @@
     "limited_accounts",
     "open_connections",
     "body_bytes",
+    "client_input_bytes",
+    "client_unread_bytes",
     "log_lines_left_out"};
 constexpr double ms_per_second = 1000;
 
@@ -59,6 +61,14 @@
     return std::round(part * 1000) / 10;
 }
 
+std::vector<std::string> limit_names()
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < client_limit_count; ++n)
+        out.emplace_back(name_of(static_cast<client_limit>(n)));
+    return out;
+}
+
 } // namespace
 
 gateway_metrics::gateway_metrics(counters& registry)
@@ -83,6 +93,9 @@
                                   "Prompt tokens that were expected to need no "
                                   "prefill",
                                   "prefix", {"retained"}))
+    , client_limits_(registry.add("galenapulley_client_limits_total",
+                                  "Clients refused or closed by limit", "limit",
+                                  limit_names()))
 {
 }
 
@@ -139,6 +152,11 @@
     handovers_.increment(static_cast<std::size_t>(outcome));
 }
 
+void gateway_metrics::count(client_limit cause)
+{
+    client_limits_.increment(static_cast<std::size_t>(cause));
+}
+
 void gateway_metrics::count_response(int status)
 {
     const auto group = static_cast<std::size_t>(status / 100);
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "galenapulley/accounts/account_report.hpp"
+#include "galenapulley/clients/client_limit.hpp"
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
 #include "galenapulley/serving_set.hpp"
@@ -61,6 +62,8 @@
     limited_accounts,
     open_connections,
     body_bytes,
+    client_input_bytes,
+    client_unread_bytes,
     log_lines_dropped
 };
 
@@ -87,6 +90,8 @@
     /// Counts a request that was placed where `tokens` of its prompt need no
     /// prefill.
     void count_prefix(double tokens);
+    /// Counts a client that was refused or closed.
+    void count(client_limit cause);
 
     /// Histograms and gauges in the metrics text format.
     std::string expose() const;
@@ -113,6 +118,7 @@
     counter_family& handovers_;
     counter_family& prefix_placements_;
     counter_family& prefix_tokens_;
+    counter_family& client_limits_;
     std::array<histogram, request_stage_count> histograms_;
     std::array<std::atomic<std::int64_t>, gauge_count> gauges_{};
     mutable std::mutex serving_set_mutex_;
