Gateway: the serving set decides as before again

Cause: the changes of the serving set were to end that nodes take requests while they are not ready. Change: serving_set and the directory are as before; join_progress is gone. What the logs showed: a node lists itself, or the few nodes that it knows, in its first rounds of gossip; it counts as listed for 15 s, gets configuration checks in that time, and isn't ready after it.

--- a/src/galenapulley/accounts/account_limits.hpp
+++ b/src/galenapulley/accounts/account_limits.hpp
@@ -3,10 +3,10 @@
 #include "galenapulley/accounts/account_shares.hpp"
 #include "galenapulley/clock.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace galenapulley
@@ -17,7 +17,11 @@
     std::string service;
     account_key account = 0;
 
-    auto operator<=>(const limited_account&) const = default;
+    bool operator<(const limited_account& other) const
+    {
+        return std::tie(service, account) <
+               std::tie(other.service, other.account);
+    }
 };
 
 /// Accounts whose waiting requests are ordered after those of others. A limit
--- a/src/galenapulley/serving_set.hpp
+++ b/src/galenapulley/serving_set.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "galenapulley/clock.hpp"
 #include "galenapulley/node_rank.hpp"
 
 #include <cstddef>
@@ -43,10 +42,6 @@
     std::size_t small_fleet = 24;
     /// One node of a failure domain may drain while another one fails.
     std::size_t nodes_per_domain = 2;
-    /// Further nodes of a failure domain must have at least this share of the
-    /// capacity of its strongest one. Clients of a domain whose other strong
-    /// node is lost are served better elsewhere than by a weak node.
-    double comparable_capacity = 0.5;
     /// Processor time of one request.
     double processor_ms_per_request = 6;
     /// Utilization above which requests have to wait for the processor.
@@ -54,10 +49,6 @@
     /// A node stays in the set until the needed capacity has fallen by this
     /// factor, so that the set doesn't alternate with the rate.
     double release_factor = 1.3;
-    /// A node stays in the set for this time after it was last needed, as
-    /// clients keep its address and its connections longer than the directory
-    /// lists it.
-    msec release_delay = 60'000;
 };
 
 /// The nodes that the directory lists to clients. The other nodes are standbys:
@@ -71,10 +62,7 @@
     explicit serving_set(serving_set_options options = {});
 
     /// Recomputes the set from all live nodes; returns whether it has changed.
-    /// `known` counts the nodes of the fleet: a node that reaches few of them
-    /// must not take the rest for a small fleet.
-    bool update(const std::vector<serving_candidate>& live, std::size_t known,
-                msec now);
+    bool update(const std::vector<serving_candidate>& live);
 
     bool contains(const std::string& node) const
     {
@@ -95,18 +83,9 @@
     /// Strongest nodes first, up to the given capacity in cores.
     member_map choose(const std::vector<serving_candidate>& ranked,
                       double cores) const;
-    /// The strongest nodes of each failure domain.
-    member_map
-    domain_minimum(const std::vector<serving_candidate>& ranked) const;
 
     serving_set_options options_;
-    /// Adds live nodes that were needed not long ago, and forgets the others.
-    void add_recent(member_map& chosen,
-                    const std::vector<serving_candidate>& live, msec now);
-
     member_map members_;
-    /// When each node was last needed.
-    std::map<std::string, msec> needed_at_;
     bool has_standbys_ = false;
     double request_rate_ = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,9 +91,6 @@
                settings_.decisions.endpoint_estimates.value_or(false)},
           clock_, log_)
     , announcer_(peers_, [this] { return dispatcher_.all_work(); })
-    , join_(std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
-                        [this](const std::string& it)
-                        { return it != settings_.peer; }))
     , view_(own_rank(), loop_, *store_, *adapter_.codec, peers_, log_,
             {.routing = [this](auto it) { set_routing(std::move(it)); },
              .withdrawn = [this](auto it)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,7 +2,6 @@
 
 #include "galenapulley/clock.hpp"
 #include "galenapulley/counters.hpp"
-#include "galenapulley/join_progress.hpp"
 #include "galenapulley/membership.hpp"
 #include "galenapulley/serving_set.hpp"
 #include "gateway/cluster_view.hpp"
@@ -107,7 +106,6 @@
     dispatcher dispatcher_;
     work_announcer announcer_;
     serving_set serving_set_;
-    join_progress join_;
     cluster_view view_;
     boost::asio::io_context traffic_io_;
     dispatcher_proxy dispatcher_proxy_;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -45,11 +45,6 @@
     const auto live = members_.live_members(now);
     update_live(live);
     update_domain_nodes(live);
-    const bool had_joined = join_.is_complete();
-    join_.on_round(members_.known_peers(), now);
-    // Nodes that were chosen from a partial view are not kept in the set.
-    if (!had_joined && join_.is_complete())
-        serving_set_ = serving_set();
     update_serving_set(live);
     dispatcher_.set_nodes(live_.size(), members_.known_peers());
     dispatcher_.drop_missing(view_.store_reached(),
@@ -113,8 +108,7 @@
         candidates.push_back({.rank = own_rank(),
                               .failure_domain = settings_.failure_domain,
                               .request_rate = rate});
-    if (serving_set_.update(candidates, members_.known_peers() + 1,
-                            loop_.now()))
+    if (serving_set_.update(candidates))
     {
         log_serving_set();
         metrics_.set_serving_set(serving_set_.members());
@@ -162,9 +156,6 @@
 
 std::vector<listed_node> gateway::listed_nodes() const
 {
-    // Clients keep the addresses that they have while the directory has none.
-    if (!join_.is_complete())
-        return {};
     std::vector<listed_node> out;
     for (const auto& [node, reason] : serving_set_.members())
     {
