Core, gateway: comments say what the code does after the merges

Cause: a reader new to the code found comments that named one of two callers or uses, or described what a class does without its limits. Change: comments, and the text of one refusal ('no memory for the client's input'), which also covers bodies and pipelined requests. No other code.

--- a/src/galenapulley/admission/admission_control.hpp
+++ b/src/galenapulley/admission/admission_control.hpp
@@ -13,7 +13,7 @@
 namespace galenapulley
 {
 
-/// A request that no endpoint can take now.
+/// A request for which it is decided whether it may wait.
 struct admission_question
 {
     first_token_forecast forecast{};
@@ -27,8 +27,9 @@
     double jitter = 0;
 };
 
-/// Refuses requests whose first token is expected after their clients have
-/// disconnected, and remembers them, so that they go first when they return.
+/// Decides which requests are refused because their first token is expected too
+/// late to be of use, and remembers them, so that callers can prefer them when
+/// they return.
 class admission_control
 {
 public:
@@ -40,7 +41,8 @@
 
     /// The client of a refused request may return until its deadline.
     void on_refused(std::uint64_t fingerprint, msec deadline, msec now);
-    /// Whether the request was refused before. It then is forgotten.
+    /// Whether the request was refused before and its deadline has not passed.
+    /// It is forgotten in either case.
     bool take_returning(std::uint64_t fingerprint, msec now);
     std::size_t size() const { return refused_.size(); }
 
--- a/src/galenapulley/admission/wait_forecast.hpp
+++ b/src/galenapulley/admission/wait_forecast.hpp
@@ -60,8 +60,9 @@
     /// Expected time until the placement.
     double wait_ms = 0;
     bool has_free_slot = false;
-    /// False until a request of the service has ended: how long requests occupy
-    /// a slot is unknown.
+    /// False if the request has to wait for a slot and no request of the
+    /// service has ended yet, so that it is unknown how long slots are
+    /// occupied.
     bool is_known = true;
 };
 
--- a/src/galenapulley/endpoints/endpoint_estimates.hpp
+++ b/src/galenapulley/endpoints/endpoint_estimates.hpp
@@ -62,7 +62,8 @@
 
 /// Estimates of the endpoints' speed and reliability from the results of
 /// attempts at them, weighted by age. Unreliable endpoints are ejected, which
-/// leaves them only a few requests as trials, until trials succeed.
+/// leaves them only a few requests as trials, until trials succeed or worse
+/// endpoints take up the number that may be ejected.
 class endpoint_estimates
 {
 public:
@@ -77,8 +78,9 @@
 
     void on_success(endpoint_key key, msec now);
     void on_failure(endpoint_key key, failure_evidence evidence, msec now);
-    /// The first token arrived after `observed_ms`, expected after
-    /// `expected_ms`, at an endpoint with little other work.
+    /// The first token arrived after `observed_ms`, or was still missing then;
+    /// it was expected after `expected_ms`. Only for attempts that other work
+    /// delayed little.
     void on_first_token(endpoint_key key, double observed_ms,
                         double expected_ms, msec now);
     /// A peer's estimate. Returns whether it was used: values out of range,
@@ -111,7 +113,8 @@
     static constexpr double reinstate_rate = 0.1;
     /// Assumed successes, so that one failure ejects no endpoint.
     static constexpr double prior_attempts = 4;
-    /// Successful trials before an endpoint is reinstated.
+    /// Successful trials before an endpoint is reinstated; peers with a good
+    /// estimate made since the trials began count as well.
     static constexpr std::uint32_t min_trials = 3;
     /// Trials of an ejected endpoint, as a share of its usual work, and added
     /// with each successful one.
@@ -128,7 +131,8 @@
     static constexpr double peer_share = 0.5;
     /// Attempts of one peer that count: too few to eject an endpoint.
     static constexpr double max_peer_attempts = 2;
-    /// All peers together count up to this weight, or that of the own results.
+    /// All peers together count up to the larger of this weight and that of the
+    /// own results.
     static constexpr double max_peer_weight = 12;
     static constexpr msec max_age = 6 * aging_period;
     static constexpr std::size_t max_peers = 64;
--- a/src/galenapulley/endpoints/endpoint_estimates_evaluation.cpp
+++ b/src/galenapulley/endpoints/endpoint_estimates_evaluation.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// Times that an endpoint became unreachable are compared with this number, so
-/// that three of them within an aging period eject it.
+/// Added to the weighted number of times that an endpoint became unreachable,
+/// so that three of them shortly after one another eject it and two don't.
 constexpr double prior_flaps = 7;
 /// Endpoints with observed speeds that a median needs.
 constexpr std::size_t min_compared = 3;
--- a/src/galenapulley/placement_queue.hpp
+++ b/src/galenapulley/placement_queue.hpp
@@ -27,7 +27,9 @@
     msec first_token_due_at = 0;
     /// The client's deadline or the route's timeout.
     msec deadline = 0;
-    /// Least time from placement to the first token.
+    /// Time from placement to the first token that is reckoned with. A request
+    /// with less time left until it is due is late; one with less until its
+    /// deadline is refused.
     msec min_service_time = 0;
 };
 
--- a/src/gateway/client_connection_reading.cpp
+++ b/src/gateway/client_connection_reading.cpp
@@ -204,7 +204,7 @@
 {
     constexpr auto kind = error_kind::overloaded;
     state_.on_limit(client_limit::input_bytes);
-    co_await refuse(kind, "no memory for the request's head",
+    co_await refuse(kind, "no memory for the client's input",
                     error_response_for(kind).retry_after, false);
 }
 
@@ -214,7 +214,7 @@
     const auto reason = reader_.failure_reason();
     if (reader_.exceeded())
         state_.on_limit(*reader_.exceeded());
-    // Only this one may succeed when it is repeated.
+    // Only a request refused for lack of memory may succeed when repeated.
     const bool refused = kind == error_kind::overloaded;
     if (refused)
         log_refusal(kind, reason);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -215,14 +215,15 @@
     {
         std::vector<const known_endpoint*> endpoints;
         std::vector<placement_candidate> load;
-        /// Usable endpoints of the service, including those that can't take
-        /// this request.
+        /// Endpoints that selectable() returned, including those that can't
+        /// take this request.
         std::size_t known = 0;
     };
 
     candidate_list candidates(const dispatch_request& item) const;
-    /// The service's usable endpoints, without ejected ones; an ejected one
-    /// alone if the request is a trial of it.
+    /// The service's usable endpoints, without ejected ones unless too few
+    /// others can take the request; an ejected one alone if the request is a
+    /// trial of it.
     std::vector<const known_endpoint*>
     selectable(const dispatch_request& item) const;
     /// Whether the request may try an endpoint that fails many requests.
@@ -372,7 +373,8 @@
     /// Why the service's endpoints couldn't serve the request in time even if
     /// all of them were idle; empty if they could.
     std::string_view infeasible_reason(const dispatch_request& item) const;
-    /// Time to first token below which a waiting request counts as late.
+    /// See placement_queue_entry: the least time, or the usual one on busy
+    /// engines with options_.admission_forecast.
     msec min_service_time(const dispatch_request& item) const;
     /// Number of endpoints that may prefill segments of the prompt.
     std::size_t max_prefill_endpoints(const dispatch_request& item) const;
--- a/src/gateway/dispatcher_estimates.cpp
+++ b/src/gateway/dispatcher_estimates.cpp
@@ -110,7 +110,7 @@
         else if (is_trial_of(item, *it))
             return {it};
     }
-    // An unreliable endpoint is better than none.
+    // With few healthy endpoints, ejected ones take work as well.
     return takers < endpoint_estimates::min_remaining ? usable : kept;
 }
 
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -52,8 +52,9 @@
     /// of the deployment, and is off where none asks for it.
     struct load_decisions
     {
-        /// Waiting requests are ordered by the time to first token that busy
-        /// engines need.
+        /// Whether waiting requests are late, or refused, is decided by the
+        /// time to first token that busy engines need, rather than the least
+        /// possible one.
         std::optional<bool> admission_forecast{};
         /// Client accounts share endpoints fairly while requests wait.
         std::optional<bool> account_shares{};
--- a/src/gateway/request_reader.hpp
+++ b/src/gateway/request_reader.hpp
@@ -55,7 +55,7 @@
     bool is_idle() const;
     /// Bytes that no request has taken yet.
     std::size_t buffered() const { return in_.size() - taken_; }
-    /// Memory of those bytes.
+    /// Memory of the input buffer, which may exceed buffered().
     std::size_t memory() const { return in_.capacity(); }
     /// Whether the client waits for an interim response before it sends the
     /// body.
@@ -84,7 +84,7 @@
 
     memory_budget& bodies_;
     std::string in_;
-    /// Bytes at the front of in_ that belong to former requests.
+    /// Bytes at the front of in_ that have been read, also of this request.
     std::size_t taken_ = 0;
     /// Bytes of the head that have been searched for its end.
     std::size_t searched_ = 0;
