--- a/tests/fakes/account_fleet.hpp
+++ b/tests/fakes/account_fleet.hpp
@@ -160,6 +160,7 @@
             });
         node.set_routing(table_);
         std::vector<endpoint> all;
+        all.reserve(endpoint_count);
         for (int n = 0; n < endpoint_count; ++n)
             all.push_back({.id = "e" + std::to_string(n),
                            .service = "svc",
