--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -1,8 +1,12 @@
 #include "platform/store_standin.hpp"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace galenapulley::testing
@@ -13,14 +17,20 @@
 
 using json = nlohmann::json;
 
+/// Limits of the store's protocol.
+constexpr std::size_t max_key_bytes = 200;
+constexpr std::size_t max_page_rows = 500;
+constexpr std::size_t max_page_bytes = 1'000'000;
+
+/// Decodes a value of a query; a plus sign stands for a blank.
 std::string decoded(std::string_view text)
 {
     std::string out;
     for (std::size_t n = 0; n < text.size(); ++n)
     {
-        if (text[n] != '%' || n + 2 >= text.size() + 0)
+        if (text[n] != '%' || n + 2 >= text.size())
         {
-            out += text[n];
+            out += text[n] == '+' ? ' ' : text[n];
             continue;
         }
         out += static_cast<char>(
@@ -48,6 +58,31 @@
     return out;
 }
 
+std::string value_of(const std::map<std::string, std::string>& query,
+                     const std::string& name)
+{
+    const auto it = query.find(name);
+    return it == query.end() ? "" : it->second;
+}
+
+/// Largest number of rows in a page; 0 if the query asks for something else.
+std::size_t page_rows_of(const std::map<std::string, std::string>& query)
+{
+    const auto limit = value_of(query, "Limit");
+    std::size_t rows = 0;
+    if (limit.empty())
+        return max_page_rows;
+    if (!absl::SimpleAtoi(limit, &rows))
+        return 0;
+    return std::min(rows, max_page_rows);
+}
+
+/// Keys are texts of a limited length, also those that bound a range.
+bool is_key(const std::string& text)
+{
+    return text.size() <= max_key_bytes;
+}
+
 } // namespace
 
 store_standin::store_standin()
@@ -134,6 +169,13 @@
     return it != rows_.end() && !it->second.deleted;
 }
 
+bool store_standin::has_ended_page(const std::string& table,
+                                   const std::string& key) const
+{
+    const std::lock_guard lock(mutex_);
+    return page_ends_.contains({table, key});
+}
+
 std::uint64_t store_standin::calls() const
 {
     const std::lock_guard lock(mutex_);
@@ -192,47 +234,78 @@
     }
     if (mode == store_mode::endless || mode == store_mode::endless_head)
         return send_without_end(socket, mode);
-    if (path == "/galenapulley/rows-get")
-        return respond(socket, 200, get_rows(query));
     std::pair<int, std::string> out{404, "{}"};
-    if (path == "/galenapulley/rows-feed")
+    if (path == "/galenapulley/rows-get")
+        out = get_rows(query);
+    else if (path == "/galenapulley/rows-feed")
         out = watch_rows(query);
     else if (path == "/galenapulley/rows-tx")
         out = change_rows(request.body());
     return out.first != 0 && respond(socket, out.first, out.second);
 }
 
-std::string store_standin::rows_json(const std::vector<row_key>& keys)
+std::string store_standin::row_json(const row_key& key) const
 {
-    json list = json::array();
-    for (const auto& key : keys)
-    {
-        const auto& it = rows_.at(key);
-        json entry{{"Table", key.first},
-                   {"part", ""},
-                   {"Key", key.second},
-                   {"Ver", it.version}};
-        if (it.deleted)
-            entry["Deleted"] = true;
-        else
-            entry["Value"] = absl::Base64Escape(it.value);
-        list.push_back(entry);
-    }
-    return json{
-        {"Rows", list}, {"HasMore", false}, {"Ver", version_}, {"NowMs", 1}}
-        .dump();
+    const auto& it = rows_.at(key);
+    json out{{"Table", key.first},
+             {"part", ""},
+             {"Key", key.second},
+             {"Ver", it.version}};
+    if (it.deleted)
+        out["Deleted"] = true;
+    else
+        out["Value"] = absl::Base64Escape(it.value);
+    return out.dump();
+}
+
+std::string store_standin::rows_json(const std::vector<row_key>& keys) const
+{
+    std::vector<std::string> rows;
+    rows.reserve(keys.size());
+    for (const auto& it : keys)
+        rows.push_back(row_json(it));
+    return page_json(rows, false);
 }
 
-std::string
+std::string store_standin::page_json(const std::vector<std::string>& rows,
+                                     bool has_more) const
+{
+    return absl::StrCat("{\"Rows\":[", absl::StrJoin(rows, ","),
+                        "],\"HasMore\":", has_more ? "true" : "false",
+                        ",\"Ver\":", version_, ",\"NowMs\":1}");
+}
+
+std::pair<int, std::string>
 store_standin::get_rows(const std::map<std::string, std::string>& query)
 {
     const std::lock_guard lock(mutex_);
-    std::vector<row_key> keys;
-    const auto from = query.contains("From") ? query.at("From") : "";
-    for (const auto& [key, it] : rows_)
-        if (key.first == query.at("Table") && key.second >= from && !it.deleted)
-            keys.push_back(key);
-    return rows_json(keys);
+    const auto table = query.at("Table");
+    const auto from = value_of(query, "From");
+    const auto target = value_of(query, "Target");
+    const auto most = page_rows_of(query);
+    if (!is_key(from) || !is_key(target) || most == 0)
+        return {400, "{}"};
+    std::vector<std::string> rows;
+    std::string last;
+    std::size_t bytes = 0;
+    for (auto it = rows_.lower_bound({table, from});
+         it != rows_.end() && it->first.first == table &&
+         (target.empty() || it->first.second < target);
+         ++it)
+    {
+        if (it->second.deleted)
+            continue;
+        auto row = row_json(it->first);
+        if (rows.size() == most || bytes + row.size() > max_page_bytes)
+        {
+            page_ends_.insert({table, last});
+            return {200, page_json(rows, true)};
+        }
+        bytes += row.size();
+        rows.push_back(std::move(row));
+        last = it->first.second;
+    }
+    return {200, page_json(rows, false)};
 }
 
 std::pair<int, std::string>
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,6 +67,9 @@
     void set_mode(store_mode mode);
     std::uint64_t calls() const;
     bool contains(const std::string& table, const std::string& key) const;
+    /// Whether a page of the table that was read ended with this row, with
+    /// more rows behind it.
+    bool has_ended_page(const std::string& table, const std::string& key) const;
     /// Number of open watches of a table.
     std::size_t watchers(const std::string& table) const;
 
@@ -76,12 +80,16 @@
     bool respond(wire_socket& socket, int status, const std::string& body);
     bool serve(wire_socket& socket, const wire_request& request);
     static bool send_without_end(wire_socket& socket, store_mode mode);
-    std::string get_rows(const std::map<std::string, std::string>& query);
-    /// Status and body.
+    /// The handlers of calls return the status and the body.
+    std::pair<int, std::string>
+    get_rows(const std::map<std::string, std::string>& query);
     std::pair<int, std::string>
     watch_rows(const std::map<std::string, std::string>& query);
     std::pair<int, std::string> change_rows(const std::string& body);
-    std::string rows_json(const std::vector<row_key>& keys);
+    std::string row_json(const row_key& key) const;
+    std::string rows_json(const std::vector<row_key>& keys) const;
+    std::string page_json(const std::vector<std::string>& rows,
+                          bool has_more) const;
 
     mutable std::mutex mutex_;
     std::condition_variable changed_;
@@ -92,6 +100,7 @@
     std::uint64_t era_ = 0;
     std::uint64_t calls_ = 0;
     std::map<std::string, std::size_t> watchers_;
+    std::set<row_key> page_ends_;
     store_mode mode_ = store_mode::normal;
     bool stopping_ = false;
     wire_server server_;
