--- a/tests/gateway/gateway_list_pages_test.cpp
+++ b/tests/gateway/gateway_list_pages_test.cpp
@@ -13,11 +13,18 @@
 constexpr msec recovery_limit = 5000;
 /// Characters that have a meaning in a URL, and what looks like an escape.
 const std::string odd_name = "b &+#%?=/;%41";
+constexpr std::size_t max_name_bytes = 200;
 constexpr std::size_t page_rows = 500;
 /// Rows of this size of which twelve fit into a page.
 constexpr std::size_t large_row_bytes = 60'000;
 constexpr std::size_t large_page_rows = 12;
 
+std::string longest(std::string name)
+{
+    name.resize(max_name_bytes, 'x');
+    return name;
+}
+
 /// A list of endpoints that is longer than a page, in which entries of another
 /// writer stand before those of the endpoints.
 struct list_of_pages : one_gateway
@@ -96,10 +103,32 @@
     check_whole_reads(odd_name);
 }
 
-// Guards against an odd name that leads astray where a list goes on behind it.
+// Guards against a continuation that the store doesn't take for a key: the
+// list can't be read as long as the entry stands.
+BOOST_FIXTURE_TEST_CASE(the_list_goes_on_behind_an_entry_with_the_longest_name,
+                        list_of_pages)
+{
+    end_page_by_rows(longest(odd_name));
+    check_whole_reads(longest(odd_name));
+}
+
+// The same with a name that is short enough to be continued.
 BOOST_FIXTURE_TEST_CASE(the_list_goes_on_behind_an_entry_with_an_odd_name,
                         list_of_pages)
 {
     end_page_by_rows(odd_name);
     check_whole_reads(odd_name);
 }
+
+// Guards against names that don't pass from node to node.
+BOOST_FIXTURE_TEST_CASE(a_node_without_the_store_gets_a_list_with_odd_names,
+                        list_of_pages)
+{
+    end_page_by_rows(longest(odd_name));
+    store.put("servers", "b\xc3\xa9\n", "x");
+    store_standin dead;
+    dead.set_mode(store_mode::refusing);
+    const gateway_process third("n3", "east", dead.address(), {other.peer()});
+    BOOST_TEST(
+        eventually([&] { return status_of(third, "/i/x") == 200; }, 10'000));
+}
--- a/tests/gateway/platform_store_test.cpp
+++ b/tests/gateway/platform_store_test.cpp
@@ -5,6 +5,7 @@
 
 #include <future>
 #include <map>
+#include <random>
 #include <thread>
 
 using namespace galenapulley;
@@ -13,8 +14,11 @@
 namespace
 {
 
+constexpr std::size_t max_name_bytes = 200;
 constexpr std::size_t page_rows = 500;
 constexpr std::size_t large_row_bytes = 60'000;
+/// Seeds of the lists that are drawn.
+constexpr unsigned drawn_lists = 50;
 
 using contents = std::map<std::string, std::string>;
 
@@ -110,7 +114,25 @@
     for (const std::string it :
          {"&", "+", "#", "%", " ", "%41", "?", "=", "/", "\\", "\"", "\n",
           "\x7f", "\xc3\xa9", "\xf4\x8f\xbf\xbf"})
+    {
         out.push_back(std::string("b").append(it).append("c").append(it));
+        std::string longest = "b";
+        while (longest.size() + it.size() <= max_name_bytes)
+            longest += it;
+        longest.resize(max_name_bytes, 'x');
+        out.push_back(longest);
+    }
+    return out;
+}
+
+std::string draw_name(std::mt19937& random)
+{
+    static const std::string characters = "ab&+#% %=?\x01~";
+    const auto size =
+        random() % 4 == 0 ? max_name_bytes : 1 + random() % max_name_bytes;
+    std::string out;
+    while (out.size() < size)
+        out += characters[random() % characters.size()];
     return out;
 }
 
@@ -125,13 +147,31 @@
         reads().check_page_end(it, rows, std::string(large_row_bytes, 'x'));
 }
 
-// Guards against a row that is lost or read twice between two pages.
+// Guards against a continuation that the store doesn't take for a key, and
+// against a row that is lost or read twice between two pages.
 BOOST_AUTO_TEST_CASE(any_name_may_end_a_page_of_all_rows)
 {
     for (const auto& it : odd_names())
         reads().check_page_end(it, page_rows, "x");
 }
 
+// Compares lists of some pages with what was written.
+BOOST_AUTO_TEST_CASE(lists_of_any_names_and_sizes_are_read_whole)
+{
+    for (unsigned seed = 1; seed <= drawn_lists; ++seed)
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            std::mt19937 random(seed);
+            reads list;
+            const auto rows = 1 + random() % (3 * page_rows);
+            const auto large = random() % 40;
+            for (std::size_t n = 0; n < rows; ++n)
+                list.put(draw_name(random),
+                         std::string(n < large ? large_row_bytes : 1, 'x'));
+            list.check();
+        }
+}
+
 // Guards against nodes that are unknown as the table of nodes has more pages.
 BOOST_AUTO_TEST_CASE(all_nodes_are_read)
 {
