Platform: a row whose value is no text hides no other row

Found while the other reads of the store were checked: a row whose Value is a number, null, a truth value, a list or an object made the whole read fail, or the whole response of the feed, so that one entry of another writer kept a gateway from following the list of servers.

--- a/tests/gateway/platform_store_test.cpp
+++ b/tests/gateway/platform_store_test.cpp
@@ -172,6 +172,21 @@
         }
 }
 
+// Guards against a row of another writer that hides all others.
+BOOST_AUTO_TEST_CASE(a_value_that_is_no_text_hides_no_other_row)
+{
+    for (const auto* const text : {"7", "null", "true", "[]", "{}", "\"%\""})
+        BOOST_TEST_CONTEXT(text)
+        {
+            reads list;
+            list.put("a", "x");
+            list.store.put_raw("servers", "b", text);
+            list.expected["b"] = "";
+            list.put("c", "y");
+            list.check();
+        }
+}
+
 // Guards against nodes that are unknown as the table of nodes has more pages.
 BOOST_AUTO_TEST_CASE(all_nodes_are_read)
 {
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -116,6 +116,14 @@
     changed_.notify_all();
 }
 
+void store_standin::put_raw(const std::string& table, const std::string& key,
+                            const std::string& json_text)
+{
+    const std::lock_guard lock(mutex_);
+    rows_[{table, key}] = {.version = ++version_, .raw_value = json_text};
+    changed_.notify_all();
+}
+
 void store_standin::remove(const std::string& table, const std::string& key)
 {
     const std::lock_guard lock(mutex_);
@@ -253,6 +261,8 @@
              {"Ver", it.version}};
     if (it.deleted)
         out["Deleted"] = true;
+    else if (!it.raw_value.empty())
+        out["Value"] = json::parse(it.raw_value);
     else
         out["Value"] = absl::Base64Escape(it.value);
     return out.dump();
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -33,6 +33,8 @@
     std::string value;
     std::uint64_t version = 0;
     bool deleted = false;
+    /// The value that responses give as JSON text, if it isn't Base64.
+    std::string raw_value{};
 };
 
 /// Contents of the store at one version, by table and key.
@@ -54,6 +56,9 @@
     std::string address() const { return server_.address(); }
     void put(const std::string& table, const std::string& key,
              const std::string& value);
+    /// Writes a row whose value is returned as this JSON text.
+    void put_raw(const std::string& table, const std::string& key,
+                 const std::string& json_text);
     void remove(const std::string& table, const std::string& key);
     /// The contents of the store, for a later restore().
     store_backup backup() const;
