Platform: rows without an address name no node

Found while the other reads of the store were checked: read_nodes() returned the value of every row of the table of nodes, and each became a seed. A value that is no address can't be connected to; a host name would be looked up on the thread that carries all messages between nodes.

That a node was harmed by such a row was not shown.

--- a/src/gateway/socket_options.cpp
+++ b/src/gateway/socket_options.cpp
@@ -56,6 +56,12 @@
     return asio::ip::tcp::endpoint(ip, port);
 }
 
+bool is_connectable(const std::string& address)
+{
+    const auto parsed = parse_address(address);
+    return parsed && parsed->port() != 0;
+}
+
 void set_options(asio::ip::tcp::socket& socket)
 {
     // Errors are ignored: the connection also works without these options.
--- a/src/gateway/socket_options.hpp
+++ b/src/gateway/socket_options.hpp
@@ -14,6 +14,9 @@
 std::optional<boost::asio::ip::tcp::endpoint>
 parse_address(const std::string& text);
 
+/// Whether the text is "IP:port" with a port that a listener may have.
+bool is_connectable(const std::string& address);
+
 /// Sets TCP_NODELAY, and a short TCP_USER_TIMEOUT so that the loss of the peer
 /// is detected early.
 void set_options(boost::asio::ip::tcp::socket& socket);
--- a/tests/gateway/platform_store_test.cpp
+++ b/tests/gateway/platform_store_test.cpp
@@ -187,6 +187,26 @@
         }
 }
 
+// Guards against a row of another writer that is taken for a node: messages
+// would be sent to it, and a host name would be looked up first.
+BOOST_AUTO_TEST_CASE(rows_without_an_address_name_no_node)
+{
+    store_standin store;
+    store_reader reader(store.address());
+    const std::string address = "10.0.0.1:7340";
+    store.put("nodes", "a", address);
+    int row = 0;
+    for (const auto* const it :
+         {"", "a host:7340", "some.host:7340", "10.0.0.1", "10.0.0.1:0",
+          "10.0.0.1:99999", "*:*", "{\"Address\":\"10.0.0.1:7340\"}"})
+        store.put("nodes", "b-" + std::to_string(++row), it);
+    store.put_raw("nodes", "c", "7");
+    const auto nodes = reader.read_nodes();
+    BOOST_TEST_REQUIRE(nodes.ok());
+    BOOST_TEST(*nodes == std::vector{address},
+               boost::test_tools::per_element());
+}
+
 // Guards against nodes that are unknown as the table of nodes has more pages.
 BOOST_AUTO_TEST_CASE(all_nodes_are_read)
 {
