Node: a row that can't be read hides no other row of a scan

Found while the other reads of stores were checked: in a scan of the table service a row of another writer with a missing field or one of another type made the whole scan fail. A node that starts then has neither the services' documents nor seeds from the lease rows.

Change: such a row is left out. No caller takes a row that is missing from a scan for a deleted one. A response without a list is an error; `null` and `{"rows":{}}` counted as an empty table.

Evidence: http_table_service_test: a_row_that_cannot_be_read_is_left_out_of_a_scan fails on the parent commit for all 8 rows, a_scan_without_a_list_is_an_error for these two; both pass now.

--- a/src/node/http_table_service.cpp
+++ b/src/node/http_table_service.cpp
@@ -42,6 +42,20 @@
     }
 }
 
+/// Adds the row, unless a field is missing or has another type. Such a row
+/// comes from another writer and must not hide the others.
+void add_row(std::vector<table_row>& rows, const json& source)
+{
+    try
+    {
+        rows.push_back(parse_row(source));
+    }
+    catch (const json::exception&)
+    {
+        return;
+    }
+}
+
 /// The service may respond with a bare array, or with an object that has the
 /// array in its field `rows`.
 absl::StatusOr<std::vector<table_row>> parse_scan(const std::string& url,
@@ -52,9 +66,12 @@
     try
     {
         const auto body = json::parse(result.body);
+        const auto& list = body.is_object() ? body.at("rows") : body;
+        if (!list.is_array())
+            return make_error(error_kind::store_unavailable, "no list of rows");
         std::vector<table_row> rows;
-        for (const auto& it : body.is_object() ? body.at("rows") : body)
-            rows.push_back(parse_row(it));
+        for (const auto& it : list)
+            add_row(rows, it);
         return rows;
     }
     catch (const json::exception& error)
--- a/tests/unit/http_table_service_test.cpp
+++ b/tests/unit/http_table_service_test.cpp
@@ -109,6 +109,42 @@
     }
 }
 
+// Guards against a response without rows that is taken for an empty table.
+BOOST_AUTO_TEST_CASE(a_scan_without_a_list_is_an_error)
+{
+    for (const auto* const it :
+         {"7", "null", "{}", R"({"rows":7})", R"({"rows":{}})"})
+    {
+        fixture store(raw::response(it));
+        const auto found = result_of<absl::StatusOr<std::vector<table_row>>>(
+            [&](auto done) { store.service.scan("p/", 500, done); });
+        BOOST_TEST((kind_of(found.status()) == error_kind::store_unavailable),
+                   it);
+    }
+}
+
+// Guards against a row of another writer that hides all others.
+BOOST_AUTO_TEST_CASE(a_row_that_cannot_be_read_is_left_out_of_a_scan)
+{
+    for (const std::string odd :
+         {"7", "null", "[]", "{}", R"({"key":"p/0","version":1})",
+          R"({"key":"p/0","version":1,"value":7})",
+          R"({"key":7,"version":1,"value":"x"})",
+          R"({"key":"p/0","version":"1","value":"x"})"})
+    {
+        fixture store(raw::response(
+            "[" + odd + R"(,{"key":"p/2","version":2,"value":"y"}])"));
+        const auto found = result_of<absl::StatusOr<std::vector<table_row>>>(
+            [&](auto done) { store.service.scan("p/", 500, done); });
+        BOOST_TEST_CONTEXT(odd)
+        {
+            BOOST_TEST(found.ok());
+            BOOST_TEST((found.ok() && found->size() == 1U &&
+                        found->front().key == "p/2"));
+        }
+    }
+}
+
 // Guards against a transaction that loses a condition or a delete.
 BOOST_AUTO_TEST_CASE(commits_transactions)
 {
