Node: an entry that can't be read hides no machine of the VM list

Found while the other answers of the platform were checked: one entry with a missing field or one of another type made the whole VM list unreadable, so that shard owners didn't learn which machines leave.

Change: an entry without a machine's name is left out, and a machine of unknown state is live. A response without a list is an error; `null` and `{}` counted as an empty list, by which all machines are gone.

Evidence: vm_list_client_test: an_entry_that_cannot_be_read_hides_no_machine fails on the parent commit for all 5 entries, a_machine_of_unknown_state_is_live and a_response_without_a_list_is_an_error fail there too; all pass now.

What it can't tell: a live machine whose own entry loses its name counts as gone.

--- a/src/node/vm_list_client.cpp
+++ b/src/node/vm_list_client.cpp
@@ -16,6 +16,19 @@
 
 using nlohmann::json;
 
+/// Adds the VM of the entry, if it names one. A VM counts as live unless its
+/// state says otherwise.
+void add_vm(std::vector<vm_entry>& machines, const json& entry)
+{
+    if (!entry.is_object())
+        return;
+    const auto machine = entry.find("machine");
+    const auto state = entry.find("state");
+    if (machine != entry.end() && machine->is_string())
+        machines.push_back({machine->get<std::string>(),
+                            state != entry.end() && *state == "leaving"});
+}
+
 absl::StatusOr<std::vector<vm_entry>> parse_vm_list(const std::string& url,
                                                     const http_result& result)
 {
@@ -23,11 +36,12 @@
         return platform_failure(url, result);
     try
     {
+        const auto list = json::parse(result.body);
+        if (!list.is_array())
+            return make_error(error_kind::store_unavailable, "no list of VMs");
         std::vector<vm_entry> machines;
-        for (const auto& it : json::parse(result.body))
-            machines.push_back(
-                {it.at("machine").get<std::string>(),
-                 it.at("state").get<std::string>() == "leaving"});
+        for (const auto& it : list)
+            add_vm(machines, it);
         return machines;
     }
     catch (const json::exception& error)
