Node: an odd reservation in an engine's list hides no other

Found while the other answers were checked: one entry of the list of reservations with a missing id or a field of another type made the whole list unreadable, so that memory which no request held any more was not released at that engine.

Change: such an entry is left out; the parser has a file of its own with a test. A response without a list is none; `null` counted as an empty list.

--- a/src/node/engine_monitor.cpp
+++ b/src/node/engine_monitor.cpp
@@ -12,6 +12,7 @@
 #include "node/held_reservations.hpp"
 #include "node/http_client.hpp"
 #include "node/permit_manager.hpp"
+#include "node/reservation_list.hpp"
 #include "peer.pb.h"
 
 #include <nlohmann/json.hpp>
@@ -52,30 +53,6 @@
     }
 }
 
-std::optional<std::vector<reservation>>
-parse_reservations(const std::string& text)
-{
-    const auto body = json::parse(text, nullptr, false);
-    if (body.is_discarded())
-        return std::nullopt;
-    try
-    {
-        std::vector<reservation> list;
-        const auto& items = body.is_object() ? body.at("reservations") : body;
-        for (const auto& it : items)
-            list.push_back(
-                {.id = it.at("id").get<std::string>(),
-                 .tokens = it.value("tokens", 0U),
-                 .age = it.value("age_ms", msec{0}),
-                 .deadline_left = it.value("deadline_left_ms", msec{0})});
-        return list;
-    }
-    catch (const json::exception&)
-    {
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 engine_monitor::engine_monitor(engine_monitor_options options,
