Gateway: the log says how a configuration reached a node

The lines configuration and domains_withdrawn now have the way (own watch, own read, peer), the time that the request had been open, the silence before it and the time since a peer first announced it; operations_announced says when and from whom a node heard of a newer one. No logic is changed. Level info: one line for each change of the operations.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -108,8 +108,9 @@
     const bool is_outdated = it.rows.version().era < era();
     if (it.needs_read || is_outdated || !it.rows.is_read())
     {
-        store_.read(table, [this, table](absl::StatusOr<row_batch> response)
-                    { handle_response(table, 0, std::move(response)); });
+        const store_request request{.table = table, .sent_at = loop_.now()};
+        store_.read(table, [this, request](absl::StatusOr<row_batch> response)
+                    { handle_response(request, std::move(response)); });
         return;
     }
     if (it.failures == 0 && !relay_role_.must_watch(loop_.now()))
@@ -119,18 +120,21 @@
         return;
     }
     it.relies_on_relays = false;
-    const auto after = it.rows.version().number;
+    const store_request request{.table = table,
+                                .after = it.rows.version().number,
+                                .sent_at = loop_.now()};
     // After a failure, a short watch succeeds as soon as the store is back; a
     // long one would return only at the next change.
     const auto wait = it.failures > 0 ? probe_wait : watch_wait;
-    store_.watch(table, after, wait,
-                 [this, table, after](absl::StatusOr<row_batch> response)
-                 { handle_response(table, after, std::move(response)); });
+    store_.watch(table, request.after, wait,
+                 [this, request](absl::StatusOr<row_batch> response)
+                 { handle_response(request, std::move(response)); });
 }
 
-void cluster_view::handle_response(cluster_table table, std::uint64_t after,
+void cluster_view::handle_response(const store_request& request,
                                    absl::StatusOr<row_batch> response)
 {
+    const auto table = request.table;
     auto& it = state(table);
     if (!response.ok())
     {
@@ -140,15 +144,19 @@
         loop_.call_after(pause, [this, table] { query_store(table); });
         return;
     }
+    const auto route = request.after > 0 ? row_route::watch : row_route::read;
+    record_arrival(table, {.route = route,
+                           .request_time = loop_.now() - request.sent_at,
+                           .silent_time = age(table)});
     on_store_response(table);
     const auto batch = *std::move(response);
     const auto era = batch.era.value_or(it.rows.version().era);
     const bool restored = era > it.rows.version().era;
     on_era(era);
     const auto last_change = it.rows.last_change();
-    const bool current = !batch.history_lost && apply(table, after, batch, era);
+    const bool current = !batch.history_lost && apply(request, batch, era);
     // The versions in the message include the change.
-    if (current && after > 0)
+    if (current && request.after > 0)
         relay(table, last_change, batch);
     else if (current && restored && relay_role_.is_relay())
         send_heartbeat();
@@ -156,21 +164,22 @@
     auto pause = table == pushed_table ? change_pause : 0_ms;
     // A read may return an older state than the known one; it is retried. A
     // watch that shows a new era is followed by a read at once.
-    if (!current && !(restored && after > 0))
+    if (!current && !(restored && request.after > 0))
         pause = min_retry_pause;
     loop_.call_after(pause, [this, table] { query_store(table); });
 }
 
-bool cluster_view::apply(cluster_table table, std::uint64_t after,
-                         row_batch batch, std::uint64_t era)
+bool cluster_view::apply(const store_request& request, row_batch batch,
+                         std::uint64_t era)
 {
-    auto& it = state(table);
+    auto& it = state(request.table);
     const store_version version{.era = era, .number = batch.version};
-    const bool whole = after == 0;
-    const bool current = whole ? it.rows.replace(std::move(batch.rows), version)
-                               : it.rows.apply(batch.rows, after, version);
+    const bool whole = request.after == 0;
+    const bool current =
+        whole ? it.rows.replace(std::move(batch.rows), version)
+              : it.rows.apply(batch.rows, request.after, version);
     if (current && (whole || !batch.rows.empty()))
-        publish(table, is_authoritative());
+        publish(request.table, is_authoritative());
     return current;
 }
 
@@ -241,6 +250,14 @@
     publish_endpoints(is_authoritative());
 }
 
+void cluster_view::record_arrival(cluster_table table, row_arrival arrival)
+{
+    auto& it = state(table);
+    it.arrival = std::move(arrival);
+    if (it.announced > it.rows.last_change())
+        it.arrival.announced_time = loop_.now() - it.announced_at;
+}
+
 void cluster_view::publish(cluster_table table, bool authoritative)
 {
     if (table == cluster_table::endpoints)
@@ -263,13 +280,17 @@
 void cluster_view::publish_operations()
 {
     const auto& rows = state(cluster_table::operations).rows;
+    const auto& arrival = state(cluster_table::operations).arrival;
     auto withdrawn = read_withdrawn();
     if (withdrawn != published_withdrawn_)
     {
         const auto names = joined(withdrawn);
         log_.write(log_event::domains_withdrawn,
                    {{"domains", std::string_view(names)},
-                    {"version", number_of(rows.version())}});
+                    {"version", number_of(rows.version())},
+                    {"by", name_of(arrival.route)},
+                    {"peer", std::string_view(arrival.peer)},
+                    {"announced_ms", arrival.announced_time}});
         published_withdrawn_ = withdrawn;
         on_change_.withdrawn(std::move(withdrawn));
     }
@@ -293,17 +314,24 @@
 void cluster_view::publish_routing(std::shared_ptr<const routing_table> routing)
 {
     const auto& rows = state(cluster_table::operations).rows;
+    const auto& arrival = state(cluster_table::operations).arrival;
     published_routing_ = routing->version();
     log_.write(log_event::configuration,
                {{"version", static_cast<std::int64_t>(published_routing_)},
                 {"row_version", number_of(rows.version())},
                 {"store_era", static_cast<std::int64_t>(rows.version().era)},
                 {"lost_by_store",
-                 static_cast<std::int64_t>(lost_configuration_.has_value())}});
+                 static_cast<std::int64_t>(lost_configuration_.has_value())},
+                {"by", name_of(arrival.route)},
+                {"peer", std::string_view(arrival.peer)},
+                {"request_ms", arrival.request_time},
+                {"silent_ms", arrival.silent_time},
+                {"announced_ms", arrival.announced_time}});
     on_change_.routing(std::move(routing));
 }
 
-void cluster_view::adopt_lost_configuration(cluster_row row)
+void cluster_view::adopt_lost_configuration(const std::string& node,
+                                            cluster_row row)
 {
     cluster_rows rows;
     rows.replace({row}, {.number = row.version});
@@ -312,6 +340,8 @@
         (*routing)->version() <= published_routing_)
         return;
     lost_configuration_ = std::move(row);
+    record_arrival(cluster_table::operations,
+                   {.route = row_route::peer, .peer = node});
     publish_routing(*std::move(routing));
 }
 
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -7,6 +7,7 @@
 #include "galenapulley/peer_link.hpp"
 #include "galenapulley/relay_role.hpp"
 #include "galenapulley/routing_table.hpp"
+#include "galenapulley/row_arrival.hpp"
 #include "gateway/row_store.hpp"
 
 #include <array>
@@ -17,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace galenapulley
@@ -42,6 +44,13 @@
     bool operator==(const domain_node&) const = default;
 };
 
+/// The node that sent a message.
+struct message_sender
+{
+    std::string node;
+    std::string peer_address;
+};
+
 /// Local copy of the store's tables. Follows them with watches or through relay
 /// nodes, pulls rows from peers that have newer ones, and reports the decoded
 /// content. Used on the control thread.
@@ -73,11 +82,10 @@
     /// Adds the versions of this node's tables to a gossip message.
     void add_versions(wire::gossip& message) const;
     /// Pulls rows from a peer whose tables are newer.
-    void on_gossip(const std::string& peer_address,
-                   const wire::gossip& message);
+    void on_gossip(const message_sender& sender, const wire::gossip& message);
     void on_pull(const std::string& peer_address,
                  const wire::rows_pull& message);
-    void on_push(const wire::rows_push& message);
+    void on_push(const std::string& node, const wire::rows_push& message);
     void on_relay(const std::string& node, const wire::rows_relay& message);
 
     /// Whether the view is authoritative: the store has been reachable long
@@ -119,6 +127,16 @@
     /// a new one.
     static constexpr cluster_table pushed_table = cluster_table::endpoints;
 
+    /// A request of this node to the store.
+    struct store_request
+    {
+        cluster_table table = cluster_table::operations;
+        /// Number of the version that changes are asked for; 0 for a read of
+        /// the whole table.
+        std::uint64_t after = 0;
+        msec sent_at = 0;
+    };
+
     struct table_state
     {
         cluster_rows rows;
@@ -126,6 +144,11 @@
         /// When a peer was first seen to be ahead; 0 if none is.
         msec behind_since = 0;
         msec pulled_at = 0;
+        row_arrival arrival{};
+        /// The newest change that a peer has announced, and since when this
+        /// node has known of one that it lacks.
+        store_version announced{};
+        msec announced_at = 0;
         std::uint32_t failures = 0;
         /// Since when this node's own requests have succeeded without a
         /// failure; absent if it relies on relay nodes.
@@ -151,16 +174,22 @@
     /// Tells the failure domain that this node follows the store, and the
     /// newest versions.
     void send_heartbeat();
-    void apply_relayed(const wire::rows_relay& message);
+    void apply_relayed(const std::string& node,
+                       const wire::rows_relay& message);
     void pull(std::size_t table, const std::string& peer_address);
     void pull_if_behind(std::size_t table, store_version last_change,
                         const std::string& peer_address);
-    void handle_response(cluster_table table, std::uint64_t after,
+    void handle_response(const store_request& request,
                          absl::StatusOr<row_batch> response);
-    /// Applies a read of the whole table, or with `after` the changes since
-    /// then. Returns whether the replica is up to date.
-    bool apply(cluster_table table, std::uint64_t after, row_batch batch,
+    /// Applies a read of the whole table, or the changes since a version.
+    /// Returns whether the replica is up to date.
+    bool apply(const store_request& request, row_batch batch,
                std::uint64_t era);
+    /// Logs that a peer has a newer configuration or withdrawal than this node.
+    void note_announced(std::size_t table, store_version last_change,
+                        const std::string& node, std::string_view by);
+    /// Called before the rows are applied.
+    void record_arrival(cluster_table table, row_arrival arrival);
     void on_store_failure(cluster_table table, const absl::Status& status);
     void on_store_response(cluster_table table);
     void on_era(std::uint64_t era);
@@ -175,7 +204,7 @@
     void publish_operations();
     void publish_routing(std::shared_ptr<const routing_table> routing);
     /// Decodes a configuration's row and puts it in force if it is newer.
-    void adopt_lost_configuration(cluster_row row);
+    void adopt_lost_configuration(const std::string& node, cluster_row row);
     void publish_endpoints(bool authoritative);
 
     control_loop& loop_;
--- a/src/gateway/cluster_view_peers.cpp
+++ b/src/gateway/cluster_view_peers.cpp
@@ -1,6 +1,7 @@
 #include "gateway/cluster_view.hpp"
 
 #include "galenapulley/endpoint_registry.hpp"
+#include "gateway/event_log.hpp"
 #include "node/control_loop.hpp"
 #include "peer.pb.h"
 
@@ -104,13 +105,15 @@
     send_relay(message);
 }
 
-void cluster_view::apply_relayed(const wire::rows_relay& message)
+void cluster_view::apply_relayed(const std::string& node,
+                                 const wire::rows_relay& message)
 {
     auto& it = state(pushed_table);
     row_batch batch{.version = message.version()};
     for (const auto& entry : message.rows())
         batch.rows.push_back(read_row(entry));
     const auto before = it.rows.last_change();
+    record_arrival(pushed_table, {.route = row_route::relay, .peer = node});
     if (it.rows.apply(batch.rows, message.after(),
                       {.era = message.era(), .number = batch.version}) &&
         it.rows.last_change() > before)
@@ -132,13 +135,14 @@
     if (message.dependable())
         on_dependable_peer(message.era());
     if (message.version() > 0)
-        apply_relayed(message);
+        apply_relayed(node, message);
     const std::array<store_version, cluster_table_count> newest{
         store_version{.era = message.operations_era(),
                       .number = message.newest_operations()},
         store_version{.era = message.era(), .number = message.newest()}};
     for (std::size_t n = 0; n < newest.size(); ++n)
     {
+        note_announced(n, newest[n], node, "relay");
         auto& it = tables_[n];
         if (!it.relies_on_relays)
             continue;
@@ -192,9 +196,28 @@
         pull(table, peer_address);
 }
 
-void cluster_view::on_gossip(const std::string& peer_address,
+void cluster_view::note_announced(std::size_t table, store_version last_change,
+                                  const std::string& node, std::string_view by)
+{
+    auto& it = tables_[table];
+    // Endpoints change too often for a line each.
+    if (table != index_of(cluster_table::operations) ||
+        last_change <= std::max(it.announced, it.rows.last_change()))
+        return;
+    if (it.announced <= it.rows.last_change())
+        it.announced_at = loop_.now();
+    it.announced = last_change;
+    log_.write(log_event::operations_announced,
+               {{"peer", std::string_view(node)},
+                {"by", by},
+                {"row_version", static_cast<std::int64_t>(last_change.number)},
+                {"store_era", static_cast<std::int64_t>(last_change.era)}});
+}
+
+void cluster_view::on_gossip(const message_sender& sender,
                              const wire::gossip& message)
 {
+    const auto& peer_address = sender.peer_address;
     const auto known = std::min<std::size_t>(
         tables_.size(),
         static_cast<std::size_t>(message.table_versions_size()));
@@ -208,6 +231,7 @@
     {
         auto& it = tables_[n];
         const auto last_change = last_change_of(message, n);
+        note_announced(n, last_change, sender.node, "gossip");
         if (last_change <= it.rows.last_change())
         {
             it.behind_since = 0;
@@ -255,17 +279,23 @@
     link_.send(peer_address, std::move(response));
 }
 
-void cluster_view::on_push(const wire::rows_push& message)
+void cluster_view::on_push(const std::string& node,
+                           const wire::rows_push& message)
 {
     if (message.table() >= tables_.size())
         return;
     if (message.has_lost_configuration())
-        adopt_lost_configuration(read_row(message.lost_configuration()));
+        adopt_lost_configuration(node, read_row(message.lost_configuration()));
     auto& it = tables_[message.table()];
     const store_version changed{.era = message.era(),
                                 .number = message.changed()};
     if (changed <= it.rows.last_change())
         return;
+    const auto table = static_cast<cluster_table>(message.table());
+    record_arrival(table, {.route = row_route::peer,
+                           .peer = node,
+                           .request_time = loop_.now() - it.pulled_at,
+                           .silent_time = age(table)});
     it.rows.record_change(changed);
     const store_version version{.era = message.era(),
                                 .number = message.version()};
@@ -278,7 +308,7 @@
     if (!it.rows.replace(std::move(rows), version))
         return;
     it.rows.record_change(changed);
-    publish(static_cast<cluster_table>(message.table()), message.dependable());
+    publish(table, message.dependable());
 }
 
 } // namespace galenapulley
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -38,6 +38,7 @@
     {reload_failed, "reload_failed", warn},
     {configuration, "configuration", info},
     {configuration_rejected, "configuration_rejected", warn},
+    {operations_announced, "operations_announced", info},
     {endpoints, "endpoints", info},
     {domains_withdrawn, "domains_withdrawn", info},
     {store_lost, "store_lost", warn},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -31,6 +31,7 @@
     reload_failed,
     configuration,
     configuration_rejected,
+    operations_announced,
     endpoints,
     domains_withdrawn,
     store_lost,
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -223,7 +223,9 @@
         const auto* const sender = members_.find(message.from());
         if (sender == nullptr)
             return;
-        view_.on_gossip(sender->peer_address, message.gossip());
+        view_.on_gossip(
+            {.node = sender->node, .peer_address = sender->peer_address},
+            message.gossip());
         if (message.gossip().has_prompts())
             dispatcher_.on_prompt_reports(
                 read_reports(message.gossip().prompts(), now));
@@ -253,7 +255,7 @@
             view_.on_pull(sender->peer_address, message.rows_pull());
         return;
     case wire::peer_message::kRowsPush:
-        view_.on_push(message.rows_push());
+        view_.on_push(message.from(), message.rows_push());
         return;
     case wire::peer_message::kRowsRelay:
         view_.on_relay(message.from(), message.rows_relay());
