--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -137,12 +137,14 @@
     return {.rows = rows_, .version = version_};
 }
 
-void store_standin::restore(const store_backup& from)
+void store_standin::restore(const store_backup& from, open_watches watches)
 {
     const std::lock_guard lock(mutex_);
     rows_ = from.rows;
     version_ = from.version;
     ++era_;
+    if (watches == open_watches::cut)
+        ++cuts_;
     changed_.notify_all();
 }
 
@@ -225,6 +227,15 @@
                            std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
+bool store_standin::loses_response()
+{
+    std::unique_lock lock(mutex_);
+    if (mode_ != store_mode::losing)
+        return false;
+    changed_.wait(lock, [this] { return stopping_; });
+    return true;
+}
+
 bool store_standin::serve(wire_socket& socket, const wire_request& request)
 {
     const std::string target(request.target());
@@ -249,7 +260,8 @@
         out = watch_rows(query);
     else if (path == "/galenapulley/rows-tx")
         out = change_rows(request.body());
-    return out.first != 0 && respond(socket, out.first, out.second);
+    return out.first != 0 && !loses_response() &&
+           respond(socket, out.first, out.second);
 }
 
 std::string store_standin::row_json(const row_key& key) const
@@ -324,6 +336,7 @@
     std::unique_lock lock(mutex_);
     const auto after = std::stoull(query.at("After"));
     const auto era = era_;
+    const auto cuts = cuts_;
     const auto changes = [&]
     {
         std::vector<std::pair<std::uint64_t, row_key>> found;
@@ -337,21 +350,25 @@
             keys.push_back(it.second);
         return keys;
     };
+    const auto lacks_history = [&]
+    {
+        return era == era_ && (after < history_from_ || after > version_);
+    };
     const auto interrupted = [&]
     {
-        return stopping_ || mode_ != store_mode::normal || era != era_ ||
-               after < history_from_ || after > version_;
+        return stopping_ || cuts != cuts_ || lacks_history() ||
+               (mode_ != store_mode::normal && mode_ != store_mode::losing);
     };
     ++watchers_[query.at("Table")];
     changed_.wait_for(lock,
                       std::chrono::milliseconds(std::stoi(query.at("WaitMs"))),
                       [&] { return interrupted() || !changes().empty(); });
     --watchers_[query.at("Table")];
-    if (stopping_ || mode_ == store_mode::resetting || era != era_)
+    if (stopping_ || mode_ == store_mode::resetting || cuts != cuts_)
         return {0, ""};
     if (mode_ == store_mode::refusing)
         return {503, "{}"};
-    if (after < history_from_ || after > version_)
+    if (lacks_history())
         return {410, "{}"};
     return {200, rows_json(changes())};
 }
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -25,7 +25,18 @@
     /// Responds with a body that has no end.
     endless,
     /// Responds with header lines that have no end.
-    endless_head
+    endless_head,
+    /// Loses each response that is due; its connection stays open and delivers
+    /// nothing further.
+    losing
+};
+
+/// What a restore does to open watches.
+enum class open_watches
+{
+    cut,
+    /// They stay open, and wait for a change after a number of the former era.
+    kept
 };
 
 struct stored_row
@@ -63,8 +74,9 @@
     /// The contents of the store, for a later restore().
     store_backup backup() const;
     /// Loses everything since the backup: the versions go back to it and are
-    /// given out again. Open watches are cut.
-    void restore(const store_backup& from);
+    /// given out again.
+    void restore(const store_backup& from,
+                 open_watches watches = open_watches::cut);
     /// Drops the history, so that watches from earlier versions get 410.
     void drop_history();
     /// Removes a row and drops the history that has the removal.
@@ -83,6 +95,9 @@
     using row_key = std::pair<std::string, std::string>;
 
     bool respond(wire_socket& socket, int status, const std::string& body);
+    /// Whether the response that is due now is lost; then it returns only when
+    /// the store ends, so that the connection stays open.
+    bool loses_response();
     bool serve(wire_socket& socket, const wire_request& request);
     static bool send_without_end(wire_socket& socket, store_mode mode);
     /// The handlers of calls return the status and the body.
@@ -101,8 +116,9 @@
     std::map<row_key, row> rows_;
     std::uint64_t version_ = 100;
     std::uint64_t history_from_ = 0;
-    /// Number of restores.
+    /// Number of restores, and of those that cut the open watches.
     std::uint64_t era_ = 0;
+    std::uint64_t cuts_ = 0;
     std::uint64_t calls_ = 0;
     std::map<std::string, std::size_t> watchers_;
     std::set<row_key> page_ends_;
