Gateway: a watch of the store is verified while it is open

Cause: a watch may wait 20 s, and nothing else asked the store meanwhile. A response that is lost on a connection that stays open, or a watch that a restored store keeps waiting for a number of its former era, looked like a store without changes. The class of fault: silence is taken for the confirmation that nothing has changed.

A node with an open watch now polls twice a second what the watch would return. A poll that returns a change, a new era or lost history replaces the watch; one without a response in 1 s counts as a failure of the store. A restore that a node learns of by one table ends the open watch of the other.

Why it works: the poll doesn't depend on what the store or the network remembers of the watch, and names the store's newest version and era for both tables.

--- a/src/galenapulley/row_arrival.hpp
+++ b/src/galenapulley/row_arrival.hpp
@@ -16,6 +16,8 @@
     watch,
     /// The node's own read of the whole table.
     read,
+    /// The node's own poll for changes.
+    poll,
     /// A peer, after the node asked it.
     peer,
     /// A relay node, unasked.
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -50,6 +50,7 @@
     query_store(cluster_table::operations);
     query_store(cluster_table::endpoints);
     loop_.call_every(relay_role::heartbeat_period, [this] { check_relays(); });
+    loop_.call_every(verify_period, [this] { verify_watches(); });
 }
 
 void cluster_view::set_domain_nodes(std::vector<domain_node> nodes)
@@ -102,115 +103,6 @@
     return loop_.now() - state(table).last_response_at;
 }
 
-void cluster_view::query_store(cluster_table table)
-{
-    auto& it = state(table);
-    const bool is_outdated = it.rows.version().era < era();
-    if (it.needs_read || is_outdated || !it.rows.is_read())
-    {
-        const store_request request{.table = table, .sent_at = loop_.now()};
-        store_.read(table, [this, request](absl::StatusOr<row_batch> response)
-                    { handle_response(request, std::move(response)); });
-        return;
-    }
-    if (it.failures == 0 && !relay_role_.must_watch(loop_.now()))
-    {
-        it.relies_on_relays = true;
-        it.followed_since.reset();
-        return;
-    }
-    it.relies_on_relays = false;
-    const store_request request{.table = table,
-                                .after = it.rows.version().number,
-                                .sent_at = loop_.now()};
-    // After a failure, a short watch succeeds as soon as the store is back; a
-    // long one would return only at the next change.
-    const auto wait = it.failures > 0 ? probe_wait : watch_wait;
-    store_.watch(table, request.after, wait,
-                 [this, request](absl::StatusOr<row_batch> response)
-                 { handle_response(request, std::move(response)); });
-}
-
-void cluster_view::handle_response(const store_request& request,
-                                   absl::StatusOr<row_batch> response)
-{
-    const auto table = request.table;
-    auto& it = state(table);
-    if (!response.ok())
-    {
-        on_store_failure(table, response.status());
-        const auto pause = std::min(
-            max_retry_pause, min_retry_pause << std::min(it.failures, 3U));
-        loop_.call_after(pause, [this, table] { query_store(table); });
-        return;
-    }
-    const auto route = request.after > 0 ? row_route::watch : row_route::read;
-    record_arrival(table, {.route = route,
-                           .request_time = loop_.now() - request.sent_at,
-                           .silent_time = age(table)});
-    on_store_response(table);
-    const auto batch = *std::move(response);
-    const auto era = batch.era.value_or(it.rows.version().era);
-    const bool restored = era > it.rows.version().era;
-    on_era(era);
-    const auto last_change = it.rows.last_change();
-    const bool current = !batch.history_lost && apply(request, batch, era);
-    // The versions in the message include the change.
-    if (current && request.after > 0)
-        relay(table, last_change, batch);
-    else if (current && restored && relay_role_.is_relay())
-        send_heartbeat();
-    it.needs_read = !current;
-    auto pause = table == pushed_table ? change_pause : 0_ms;
-    // A read may return an older state than the known one; it is retried. A
-    // watch that shows a new era is followed by a read at once.
-    if (!current && !(restored && request.after > 0))
-        pause = min_retry_pause;
-    loop_.call_after(pause, [this, table] { query_store(table); });
-}
-
-bool cluster_view::apply(const store_request& request, row_batch batch,
-                         std::uint64_t era)
-{
-    auto& it = state(request.table);
-    const store_version version{.era = era, .number = batch.version};
-    const bool whole = request.after == 0;
-    const bool current =
-        whole ? it.rows.replace(std::move(batch.rows), version)
-              : it.rows.apply(batch.rows, request.after, version);
-    if (current && (whole || !batch.rows.empty()))
-        publish(request.table, is_authoritative());
-    return current;
-}
-
-void cluster_view::on_store_failure(cluster_table table,
-                                    const absl::Status& status)
-{
-    ++state(table).failures;
-    state(table).followed_since.reset();
-    if (failures_++ == 0)
-        log_.write(log_event::store_lost,
-                   {{"reason", std::string_view(status.message().data(),
-                                                status.message().size())},
-                    {"operations_version",
-                     number_of(version(cluster_table::operations))},
-                    {"endpoints_version",
-                     number_of(version(cluster_table::endpoints))}});
-}
-
-void cluster_view::on_store_response(cluster_table table)
-{
-    auto& it = state(table);
-    it.failures = 0;
-    it.last_response_at = loop_.now();
-    it.followed_since = it.followed_since.value_or(loop_.now());
-    if (failures_ == 0)
-        return;
-    failures_ = 0;
-    reached_since_ = loop_.now();
-    log_.write(log_event::store_regained, {});
-}
-
 void cluster_view::on_era(std::uint64_t era)
 {
     const auto before = std::exchange(era_, std::max(era, era_.value_or(era)));
@@ -226,6 +118,11 @@
 
 void cluster_view::on_restored()
 {
+    // They may wait for a number of the former era.
+    for (const auto table :
+         {cluster_table::operations, cluster_table::endpoints})
+        if (state(table).open_watch)
+            renew_watch(table);
     // Endpoints have to register again, as after an outage.
     reached_since_ = loop_.now();
     withdrawn_before_restore_ = published_withdrawn_;
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -109,7 +109,13 @@
 
     /// Time after which a watch without a change returns and is renewed.
     static constexpr msec watch_wait = 20'000;
-    static constexpr msec probe_wait = 1;
+    /// Interval between polls that verify that an open watch hasn't missed a
+    /// change: its response, or the store's record of it, may be lost without a
+    /// sign.
+    static constexpr msec verify_period = 500;
+    /// Time within which the store must respond to a poll; a slow one takes a
+    /// quarter of a second.
+    static constexpr msec poll_timeout = 1000;
     /// Pause between two watches of the endpoints, which often change together.
     static constexpr msec change_pause = 50;
     static constexpr msec min_retry_pause = 200;
@@ -131,6 +137,8 @@
     struct store_request
     {
         cluster_table table = cluster_table::operations;
+        row_route route = row_route::read;
+        std::uint64_t id = 0;
         /// Number of the version that changes are asked for; 0 for a read of
         /// the whole table.
         std::uint64_t after = 0;
@@ -154,13 +162,30 @@
         /// failure; absent if it relies on relay nodes.
         std::optional<msec> followed_since{};
         bool needs_read = true;
+        /// Id of the latest request; responses to earlier ones are ignored.
+        std::uint64_t request_id = 0;
+        std::optional<store_request> open_watch{};
         /// No watch is open; relay nodes send the changes.
         bool relies_on_relays = false;
     };
 
     table_state& state(cluster_table table);
     const table_state& state(cluster_table table) const;
+    /// Sends the table's next request.
     void query_store(cluster_table table);
+    row_store::batch_callback response_handler(const store_request& request);
+    void retry_query(cluster_table table, const absl::Status& status);
+    /// Polls what an open watch would return.
+    void verify_watches();
+    void verify_watch(cluster_table table);
+    void on_verified(const store_request& request,
+                     absl::StatusOr<row_batch> response);
+    /// Verifies the watch of the endpoints if the response of a poll of the
+    /// operations has a newer version than the endpoints.
+    void verify_endpoints(const row_batch& operations);
+    void close_watch(cluster_table table);
+    /// Replaces an open watch that doesn't return what the store has.
+    void renew_watch(cluster_table table);
     /// Sends a heartbeat if this node is a relay node, and watches the store
     /// again if no relay node is heard.
     void check_relays();
@@ -181,9 +206,11 @@
                         const std::string& peer_address);
     void handle_response(const store_request& request,
                          absl::StatusOr<row_batch> response);
+    /// Takes over a response. Returns whether the replica is up to date.
+    bool accept(const store_request& request, const row_batch& batch);
     /// Applies a read of the whole table, or the changes since a version.
     /// Returns whether the replica is up to date.
-    bool apply(const store_request& request, row_batch batch,
+    bool apply(const store_request& request, const row_batch& batch,
                std::uint64_t era);
     /// Logs that a peer has a newer configuration or withdrawal than this node.
     void note_announced(std::size_t table, store_version last_change,
@@ -216,6 +243,7 @@
     relay_role relay_role_;
     std::vector<domain_node> domain_nodes_;
     std::array<table_state, cluster_table_count> tables_;
+    std::uint64_t last_request_id_ = 0;
     /// Consecutive failed requests to the store, over both tables.
     std::uint32_t failures_ = 0;
     msec reached_since_ = 0;
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -44,6 +44,7 @@
     {store_lost, "store_lost", warn},
     {store_regained, "store_regained", info},
     {store_restored, "store_restored", warn},
+    {watch_renewed, "watch_renewed", warn},
     {peer_gained, "peer_gained", info},
     {peer_lost, "peer_lost", warn},
     {serving_set, "serving_set", info},
--- a/src/gateway/event_log.hpp
+++ b/src/gateway/event_log.hpp
@@ -37,6 +37,7 @@
     store_lost,
     store_regained,
     store_restored,
+    watch_renewed,
     peer_gained,
     peer_lost,
     serving_set,
--- a/src/gateway/row_store.hpp
+++ b/src/gateway/row_store.hpp
@@ -43,9 +43,15 @@
 
     /// All rows of a table.
     virtual void read(cluster_table table, batch_callback done) = 0;
-    /// Changes after a version; waits up to `wait` until there is one.
+    /// Changes after a version that there are now; fails after `timeout`.
+    virtual void poll(cluster_table table, std::uint64_t after, msec timeout,
+                      batch_callback done) = 0;
+    /// Changes after a version; waits up to `wait` until there is one. A table
+    /// has at most one open watch.
     virtual void watch(cluster_table table, std::uint64_t after, msec wait,
                        batch_callback done) = 0;
+    /// Ends the open watch of the table, whose callback gets an error.
+    virtual void end_watch(cluster_table table) = 0;
     /// Peer addresses of the nodes registered in the store.
     virtual void read_nodes(
         std::function<void(absl::StatusOr<std::vector<std::string>>)> done) = 0;
