Gateway: relay nodes vouch only for what the store has confirmed

Callers of a failure domain would see old configurations for as long as its relay nodes have links to a store that is silent to them: these went on with heartbeats, which only say that the process lives, and the other nodes relied on them.

Heartbeats now carry the time since the store last confirmed both tables, and a node watches the store itself 1.2 s after the newest confirmation that it knows of. It then polls first, which also confirms at once. Heartbeats of earlier builds carry no time and count as before, but for 1.2 s in place of 0.9 s. While the nodes of a new fleet settle, nobody watches the store and the time counts as 0.

Why it works: what a node relies on is the age of the store's own word, not the life of a peer that may have lost the store.

--- a/src/galenapulley/relay_role.cpp
+++ b/src/galenapulley/relay_role.cpp
@@ -14,7 +14,7 @@
                                       [this](const ranked_node& it)
                                       { return ranks_before(it, self_); });
     is_relay_ = static_cast<std::size_t>(before) < relays_per_domain;
-    std::erase_if(last_heartbeat_at_,
+    std::erase_if(confirmed_at_,
                   [&nodes](const auto& heard)
                   {
                       return std::none_of(nodes.begin(), nodes.end(),
@@ -23,17 +23,23 @@
                   });
 }
 
-void relay_role::on_heartbeat(const std::string& node, msec now)
+void relay_role::on_heartbeat(const std::string& node, msec confirmed_at)
 {
-    last_heartbeat_at_[node] = now;
+    auto& it = confirmed_at_[node];
+    it = std::max(it, confirmed_at);
+}
+
+bool relay_role::is_settling(msec now) const
+{
+    return settling_since_ && now - *settling_since_ < settling_time;
 }
 
 bool relay_role::must_watch(msec now) const
 {
-    if (settling_since_ && now - *settling_since_ < settling_time)
+    if (is_settling(now))
         return false;
     return is_relay_ ||
-           std::none_of(last_heartbeat_at_.begin(), last_heartbeat_at_.end(),
+           std::none_of(confirmed_at_.begin(), confirmed_at_.end(),
                         [now](const auto& it)
                         { return now - it.second < heartbeat_timeout; });
 }
--- a/src/galenapulley/relay_role.hpp
+++ b/src/galenapulley/relay_role.hpp
@@ -25,11 +25,13 @@
 
     /// All nodes of the fleet start now and don't know each other yet.
     void settle(msec now) { settling_since_ = now; }
+    bool is_settling(msec now) const;
 
     /// Sets the live nodes of the own failure domain, without this one.
     void set_domain_nodes(const std::vector<ranked_node>& nodes);
-    /// A node has announced that it watches the store and gets responses.
-    void on_heartbeat(const std::string& node, msec now);
+    /// A node has announced that it watches the store, and that the store has
+    /// confirmed its rows at this time.
+    void on_heartbeat(const std::string& node, msec confirmed_at);
 
     /// Whether this node is a relay node of its failure domain.
     bool is_relay() const { return is_relay_; }
@@ -41,10 +43,11 @@
     static constexpr std::size_t relays_per_domain = 2;
     /// Interval between the heartbeats of a relay node.
     static constexpr msec heartbeat_period = 300;
-    /// Time without heartbeats after which a node watches the store itself:
-    /// three heartbeats, and short compared with the time within which changes
-    /// have to take effect.
-    static constexpr msec heartbeat_timeout = 900;
+    /// Time after the store's last confirmation to a relay node after which a
+    /// node watches the store itself. Relay nodes ask for one twice a second;
+    /// the rest is for heartbeats and a slow store. It is short compared with
+    /// the time within which changes have to take effect.
+    static constexpr msec heartbeat_timeout = 1200;
     /// Time from the start of the fleet within which its nodes learn of each
     /// other and relay nodes send heartbeats. Until then no node watches the
     /// store: all of them would get every registration of an endpoint from it.
@@ -54,7 +57,7 @@
     ranked_node self_;
     bool is_relay_ = true;
     std::optional<msec> settling_since_;
-    std::map<std::string, msec> last_heartbeat_at_;
+    std::map<std::string, msec> confirmed_at_;
 };
 
 } // namespace galenapulley
--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -162,6 +162,8 @@
         /// failure; absent if it relies on relay nodes.
         std::optional<msec> followed_since{};
         bool needs_read = true;
+        /// The next request is a poll, as the node has relied on relay nodes.
+        bool needs_poll = false;
         /// Id of the latest request; responses to earlier ones are ignored.
         std::uint64_t request_id = 0;
         std::optional<store_request> open_watch{};
--- a/src/gateway/cluster_view_peers.cpp
+++ b/src/gateway/cluster_view_peers.cpp
@@ -53,7 +53,10 @@
     for (const auto table :
          {cluster_table::operations, cluster_table::endpoints})
         if (state(table).relies_on_relays)
+        {
+            state(table).needs_poll = true;
             query_store(table);
+        }
 }
 
 wire::rows_relay cluster_view::make_heartbeat() const
@@ -66,6 +69,10 @@
     message.set_newest_operations(operations.number);
     message.set_operations_era(operations.era);
     message.set_dependable(is_authoritative());
+    const bool watches = !relay_role_.is_settling(loop_.now());
+    message.set_store_age_ms(watches ? std::max(age(cluster_table::operations),
+                                                age(cluster_table::endpoints))
+                                     : 0);
     return message;
 }
 
@@ -131,7 +138,9 @@
     if (sender == domain_nodes_.end() ||
         (message.newest_operations() == 0 && message.operations_era() == 0))
         return;
-    relay_role_.on_heartbeat(node, loop_.now());
+    const auto confirmed_at =
+        loop_.now() - std::max<msec>(message.store_age_ms(), 0);
+    relay_role_.on_heartbeat(node, confirmed_at);
     if (message.dependable())
         on_dependable_peer(message.era());
     if (message.version() > 0)
@@ -146,7 +155,7 @@
         auto& it = tables_[n];
         if (!it.relies_on_relays)
             continue;
-        it.last_response_at = loop_.now();
+        it.last_response_at = std::max(it.last_response_at, confirmed_at);
         if (newest[n] > it.rows.last_change())
             pull(n, sender->peer_address);
     }
--- a/src/gateway/cluster_view_store.cpp
+++ b/src/gateway/cluster_view_store.cpp
@@ -45,7 +45,7 @@
     request.after = it.rows.version().number;
     // A poll succeeds as soon as the store is back; a watch would return only
     // at the next change.
-    if (it.failures > 0)
+    if (it.failures > 0 || std::exchange(it.needs_poll, false))
     {
         request.route = row_route::poll;
         store_.poll(table, request.after, poll_timeout,
--- a/tests/gateway/gateway_silent_watch_test.cpp
+++ b/tests/gateway/gateway_silent_watch_test.cpp
@@ -130,3 +130,33 @@
     BOOST_TEST(
         eventually([this] { return avoids(*gateway, east); }, drain_limit));
 }
+
+// Guards against a node that relies on relay nodes although the store is silent
+// to them. Here these have a store of their own.
+BOOST_FIXTURE_TEST_CASE(
+    a_node_doesnt_wait_for_relays_to_which_the_store_is_silent, one_gateway)
+{
+    const gateway_process second("n2", "east", store.address(),
+                                 {gateway->peer()});
+    store_standin other_store(store.backup());
+    gateway_process third("n3", "east", other_store.address(),
+                          {gateway->peer()});
+    BOOST_TEST_REQUIRE(third.wait_until_ready());
+    const auto relies_on_relays = [&]
+    {
+        // Each change ends the open watches, which a node that relies on relay
+        // nodes doesn't renew.
+        store.put("op", "evacuate/none", "{}");
+        other_store.put("op", "evacuate/none", "{}");
+        pause_for(100);
+        return other_store.watchers("op") == 0;
+    };
+    BOOST_TEST_REQUIRE(eventually(relies_on_relays));
+    // The other store's versions are above those that relay nodes have sent.
+    for (int n = 0; n < 20; ++n)
+        other_store.put("other", "key", std::to_string(n));
+    store.set_mode(store_mode::losing);
+    other_store.put("op", "config", sample_configuration(4, "/new/"));
+    BOOST_TEST(eventually([&] { return status_of(third, "/new/x") == 200; },
+                          apply_limit));
+}
--- a/tests/unit/relay_role_test.cpp
+++ b/tests/unit/relay_role_test.cpp
@@ -61,6 +61,24 @@
     }
 }
 
+// Guards against relying on a relay node that sends heartbeats although the
+// store is silent to it.
+BOOST_AUTO_TEST_CASE(a_relay_node_without_the_stores_confirmation_doesnt_count)
+{
+    relay_role role({.node = "n20", .capacity = 100});
+    role.set_domain_nodes(nodes(20));
+    constexpr msec confirmed_at = 5000;
+    constexpr msec later = confirmed_at + relay_role::heartbeat_timeout;
+    role.on_heartbeat("n0", confirmed_at);
+    BOOST_TEST(!role.must_watch(later - 1));
+    role.on_heartbeat("n0", confirmed_at);
+    BOOST_TEST(role.must_watch(later));
+    // Another relay node is followed, also if an older heartbeat comes late.
+    role.on_heartbeat("n1", later);
+    role.on_heartbeat("n1", confirmed_at);
+    BOOST_TEST(!role.must_watch(later));
+}
+
 // Guards against relying on the heartbeat of a node that is no longer a member.
 BOOST_AUTO_TEST_CASE(heartbeats_of_former_members_are_ignored)
 {
