Gateway: a lost response to a read is noticed after 1 s

Callers saw an old configuration for 2.7 s and more if the store dropped its history, or was restored, and lost the response to the read that follows: all reads had a timeout of 2.5 s, and up to 1 s of pause came on top. Same class as the silent watch: nothing else asks the store meanwhile.

The first read of a table has a timeout of 1 s, doubled with each failure up to 4 s, as a large table may take long. The pause counts from the failed request.

--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -10,6 +10,7 @@
 #include "galenapulley/row_arrival.hpp"
 #include "gateway/row_store.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -116,8 +117,13 @@
     /// Time within which the store must respond to a poll; a slow one takes a
     /// quarter of a second.
     static constexpr msec poll_timeout = 1000;
+    /// Timeout of a page of a read, doubled with each failure up to the second
+    /// value: a response may be lost, but a large table may also take long.
+    static constexpr msec min_read_timeout = 1000;
+    static constexpr msec max_read_timeout = 4000;
     /// Pause between two watches of the endpoints, which often change together.
     static constexpr msec change_pause = 50;
+    /// Time from a failed request to the next one, doubled with each failure.
     static constexpr msec min_retry_pause = 200;
     static constexpr msec max_retry_pause = 1000;
     /// Time that a peer may be ahead before its rows are pulled. This node's
@@ -167,6 +173,9 @@
         /// Id of the latest request; responses to earlier ones are ignored.
         std::uint64_t request_id = 0;
         std::optional<store_request> open_watch{};
+
+        /// How often pauses and timeouts are doubled after failures.
+        std::uint32_t doublings() const { return std::min(failures, 3U); }
         /// No watch is open; relay nodes send the changes.
         bool relies_on_relays = false;
     };
@@ -176,7 +185,7 @@
     /// Sends the table's next request.
     void query_store(cluster_table table);
     row_store::batch_callback response_handler(const store_request& request);
-    void retry_query(cluster_table table, const absl::Status& status);
+    void retry_query(const store_request& request, const absl::Status& status);
     /// Polls what an open watch would return.
     void verify_watches();
     void verify_watch(cluster_table table);
--- a/src/gateway/cluster_view_store.cpp
+++ b/src/gateway/cluster_view_store.cpp
@@ -32,7 +32,9 @@
     const bool is_outdated = it.rows.version().era < era();
     if (it.needs_read || is_outdated || !it.rows.is_read())
     {
-        store_.read(table, response_handler(request));
+        const auto timeout =
+            std::min(max_read_timeout, min_read_timeout << it.doublings());
+        store_.read(table, timeout, response_handler(request));
         return;
     }
     if (it.failures == 0 && !relay_role_.must_watch(loop_.now()))
@@ -76,7 +78,7 @@
     it.open_watch.reset();
     if (!response.ok())
     {
-        retry_query(table, response.status());
+        retry_query(request, response.status());
         return;
     }
     const bool restored =
@@ -90,12 +92,17 @@
     loop_.call_after(pause, [this, table] { query_store(table); });
 }
 
-void cluster_view::retry_query(cluster_table table, const absl::Status& status)
+void cluster_view::retry_query(const store_request& request,
+                               const absl::Status& status)
 {
+    const auto table = request.table;
     on_store_failure(table, status);
-    const auto failures = std::min(state(table).failures, 3U);
-    const auto pause = std::min(max_retry_pause, min_retry_pause << failures);
-    loop_.call_after(pause, [this, table] { query_store(table); });
+    const auto pause =
+        std::min(max_retry_pause, min_retry_pause << state(table).doublings());
+    // A timeout has taken its time already.
+    const auto elapsed = loop_.now() - request.sent_at;
+    loop_.call_after(std::max(pause - elapsed, 0_ms),
+                     [this, table] { query_store(table); });
 }
 
 bool cluster_view::accept(const store_request& request, const row_batch& batch)
@@ -173,7 +180,7 @@
         if (age(table) < poll_timeout)
             return;
         close_watch(table);
-        retry_query(table, response.status());
+        retry_query(request, response.status());
         return;
     }
     const auto last_change = it.rows.last_change();
--- a/src/gateway/row_store.hpp
+++ b/src/gateway/row_store.hpp
@@ -41,8 +41,10 @@
 
     virtual ~row_store() = default;
 
-    /// All rows of a table.
-    virtual void read(cluster_table table, batch_callback done) = 0;
+    /// All rows of a table. Fails if the store takes longer than `timeout` for
+    /// a page of them.
+    virtual void read(cluster_table table, msec timeout,
+                      batch_callback done) = 0;
     /// Changes after a version that there are now; fails after `timeout`.
     virtual void poll(cluster_table table, std::uint64_t after, msec timeout,
                       batch_callback done) = 0;
--- a/tests/gateway/gateway_silent_watch_test.cpp
+++ b/tests/gateway/gateway_silent_watch_test.cpp
@@ -160,3 +160,15 @@
     BOOST_TEST(eventually([&] { return status_of(third, "/new/x") == 200; },
                           apply_limit));
 }
+
+// Guards against a node that waits 2.5 s for the response to a read that was
+// lost, after the store has dropped its history.
+BOOST_FIXTURE_TEST_CASE(a_configuration_is_in_force_in_time_if_a_read_is_lost,
+                        one_gateway)
+{
+    store.lose_next_read("op");
+    store.drop_history();
+    store.put("op", "config", sample_configuration(4, "/new/"));
+    BOOST_TEST(eventually([&] { return status_of(*gateway, "/new/x") == 200; },
+                          apply_limit));
+}
--- a/tests/gateway/platform_store_test.cpp
+++ b/tests/gateway/platform_store_test.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t max_name_bytes = 200;
 constexpr std::size_t page_rows = 500;
+constexpr msec read_timeout = 2500;
 constexpr std::size_t large_row_bytes = 60'000;
 /// Seeds of the lists that are drawn.
 constexpr unsigned drawn_lists = 50;
@@ -43,7 +44,8 @@
     absl::StatusOr<row_batch> read(cluster_table table)
     {
         std::promise<absl::StatusOr<row_batch>> out;
-        client_.read(table, [&out](absl::StatusOr<row_batch> batch)
+        client_.read(table, read_timeout,
+                     [&out](absl::StatusOr<row_batch> batch)
                      { out.set_value(std::move(batch)); });
         return out.get_future().get();
     }
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -227,11 +227,20 @@
                            std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-bool store_standin::loses_response()
+void store_standin::lose_next_read(const std::string& table)
+{
+    const std::lock_guard lock(mutex_);
+    lost_read_ = table;
+}
+
+bool store_standin::loses_response(const std::string& read_table)
 {
     std::unique_lock lock(mutex_);
-    if (mode_ != store_mode::losing)
+    const bool loses_read = !read_table.empty() && read_table == lost_read_;
+    if (mode_ != store_mode::losing && !loses_read)
         return false;
+    if (loses_read)
+        lost_read_.clear();
     changed_.wait(lock, [this] { return stopping_; });
     return true;
 }
@@ -254,13 +263,15 @@
     if (mode == store_mode::endless || mode == store_mode::endless_head)
         return send_without_end(socket, mode);
     std::pair<int, std::string> out{404, "{}"};
-    if (path == "/galenapulley/rows-get")
+    const bool is_read = path == "/galenapulley/rows-get";
+    if (is_read)
         out = get_rows(query);
     else if (path == "/galenapulley/rows-feed")
         out = watch_rows(query);
     else if (path == "/galenapulley/rows-tx")
         out = change_rows(request.body());
-    return out.first != 0 && !loses_response() &&
+    return out.first != 0 &&
+           !loses_response(is_read ? value_of(query, "Table") : "") &&
            respond(socket, out.first, out.second);
 }
 
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -82,6 +82,9 @@
     /// Removes a row and drops the history that has the removal.
     void remove_with_history(const std::string& table, const std::string& key);
     void set_mode(store_mode mode);
+    /// Loses the response to the next read of the table, as in
+    /// store_mode::losing.
+    void lose_next_read(const std::string& table);
     std::uint64_t calls() const;
     bool contains(const std::string& table, const std::string& key) const;
     /// Whether a page of the table that was read ended with this row, with
@@ -95,9 +98,10 @@
     using row_key = std::pair<std::string, std::string>;
 
     bool respond(wire_socket& socket, int status, const std::string& body);
-    /// Whether the response that is due now is lost; then it returns only when
+    /// Whether the response that is due now is lost (to the read of a table, or
+    /// to another call if that is empty); then it returns only when
     /// the store ends, so that the connection stays open.
-    bool loses_response();
+    bool loses_response(const std::string& read_table);
     bool serve(wire_socket& socket, const wire_request& request);
     static bool send_without_end(wire_socket& socket, store_mode mode);
     /// The handlers of calls return the status and the body.
@@ -123,6 +127,8 @@
     std::map<std::string, std::size_t> watchers_;
     std::set<row_key> page_ends_;
     store_mode mode_ = store_mode::normal;
+    /// The table whose next read is lost; empty if none is.
+    std::string lost_read_;
     bool stopping_ = false;
     wire_server server_;
 };
