Gateway: the newest configuration that the store lost is passed on

A node that starts after a restore could get an older configuration than the one in force, and peers asked for the newer one in vain: a node that had learned of the new era by the table of endpoints, and then got from a peer what the former era had last, put that in force but kept the row of the older one as the lost configuration.

The kept row now follows what is put in force from rows of a former era.

cluster_view_test, the_newest_lost_configuration_is_passed_on: 9 in place of 12 before, passes now; it is the first test of cluster_view with mocks of the store, the codec and the peers.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -204,6 +204,9 @@
         return;
     if (rows.version().era == era())
         lost_configuration_.reset();
+    else if (lost_configuration_)
+        // A peer sent what the former era had last.
+        lost_configuration_ = *codec_.configuration_row(rows);
     if ((*routing)->version() > published_routing_)
         publish_routing(*std::move(routing));
 }
--- /dev/null
+++ b/tests/unit/cluster_view_test.cpp
@@ -0,0 +1,175 @@
+#include "gateway/cluster_view.hpp"
+
+#include "gateway/event_log.hpp"
+#include "node/control_loop.hpp"
+#include "peer.pb.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace galenapulley;
+
+namespace
+{
+
+const std::string configuration_key = "config";
+
+/// A store that keeps the callbacks of reads.
+struct pending_store final : row_store
+{
+    std::array<batch_callback, cluster_table_count> reads;
+
+    void read(cluster_table table, msec /*timeout*/,
+              batch_callback done) override
+    {
+        reads.at(index_of(table)) = std::move(done);
+    }
+    void poll(cluster_table /*table*/, std::uint64_t /*after*/,
+              msec /*timeout*/, batch_callback /*done*/) override
+    {
+    }
+    void watch(cluster_table /*table*/, std::uint64_t /*after*/, msec /*wait*/,
+               batch_callback /*done*/) override
+    {
+    }
+    void end_watch(cluster_table /*table*/) override {}
+    void read_nodes(
+        std::function<void(absl::StatusOr<std::vector<std::string>>)> /*done*/)
+        override
+    {
+    }
+    void write_node(const std::string& /*node*/,
+                    const std::string& /*peer_address*/,
+                    done_callback /*done*/) override
+    {
+    }
+};
+
+/// The value of the configuration's row is its version.
+struct number_codec final : row_codec
+{
+    const cluster_row*
+    configuration_row(const cluster_rows& operations) const override
+    {
+        const auto it = operations.rows().find(configuration_key);
+        return it == operations.rows().end() ? nullptr : &it->second;
+    }
+    absl::StatusOr<std::shared_ptr<const routing_table>>
+    read_routing(const cluster_rows& operations) const override
+    {
+        const auto* const row = configuration_row(operations);
+        if (row == nullptr)
+            return nullptr;
+        return std::make_shared<const routing_table>(
+            std::stoull(row->value), std::vector<route>{},
+            std::vector<service_profile>{}, std::vector<client_account>{},
+            client_limits{});
+    }
+    std::set<std::string>
+    read_withdrawn(const cluster_rows& /*operations*/) const override
+    {
+        return {};
+    }
+    std::vector<endpoint>
+    read_endpoints(const cluster_rows& /*endpoints*/,
+                   std::size_t& /*invalid*/) const override
+    {
+        return {};
+    }
+};
+
+struct recording_link final : peer_link
+{
+    std::vector<wire::peer_message> sent;
+
+    void send(const std::string& /*peer_address*/,
+              wire::peer_message message) override
+    {
+        sent.push_back(std::move(message));
+    }
+};
+
+cluster_row configuration(std::uint64_t version, std::uint64_t row_version)
+{
+    return {.key = configuration_key,
+            .value = std::to_string(version),
+            .version = row_version};
+}
+
+wire::rows_push push(cluster_table table, store_version version)
+{
+    wire::rows_push out;
+    out.set_table(static_cast<std::uint32_t>(index_of(table)));
+    out.set_era(version.era);
+    out.set_version(version.number);
+    out.set_changed(version.number);
+    return out;
+}
+
+/// A node whose store has configuration 9.
+struct one_view
+{
+    manual_clock time{1};
+    control_loop loop{time};
+    pending_store store;
+    number_codec codec;
+    recording_link link;
+    event_log log{"n1", "off"};
+    std::uint64_t published = 0;
+    cluster_view view{
+        {.node = "n1"},
+        loop,
+        store,
+        codec,
+        link,
+        log,
+        {.routing = [this](const std::shared_ptr<const routing_table>& it)
+         { published = it->version(); },
+         .withdrawn = [](const std::set<std::string>&) {},
+         .endpoints = [](const std::vector<endpoint>&, bool) {},
+         .store_restored =
+             [] {
+             }}};
+
+    one_view()
+    {
+        view.start(false);
+        store.reads.at(index_of(cluster_table::operations))(row_batch{
+            .rows = {configuration(9, 90)}, .version = 100, .era = 0});
+        store.reads.at(index_of(cluster_table::endpoints))(
+            row_batch{.version = 100, .era = 0});
+        BOOST_TEST_REQUIRE(published == 9U);
+    }
+
+    /// The configuration that a node gets which starts after the restore.
+    std::string lost_configuration()
+    {
+        wire::rows_pull request;
+        request.set_table(0);
+        request.set_version(1000);
+        request.set_era(1000);
+        view.on_pull("n3", request);
+        if (link.sent.empty() || !link.sent.back().has_rows_push())
+            return "";
+        return link.sent.back().rows_push().lost_configuration().value();
+    }
+};
+
+} // namespace
+
+// Guards against a node that passes on an older configuration than the one in
+// force: it learned of the restore before a peer sent it what the former era
+// had last.
+BOOST_FIXTURE_TEST_CASE(the_newest_lost_configuration_is_passed_on, one_view)
+{
+    view.on_push("n2", push(cluster_table::endpoints, {1, 50}));
+    BOOST_TEST(lost_configuration() == "9");
+
+    auto late = push(cluster_table::operations, {0, 101});
+    auto& row = *late.add_rows();
+    row.set_key(configuration_key);
+    row.set_value("12");
+    row.set_version(101);
+    view.on_push("n2", late);
+    BOOST_TEST_REQUIRE(published == 12U);
+    BOOST_TEST(lost_configuration() == "12");
+}
