Gateway: a node pulls what peers have while its own watch is silent

A node whose watch is silent, or that has none while it reads, could stay behind its peers for seconds: gossip of a peer that lacked the change, too, set the time back after which it pulls; while a read was open it waited for a watch that it didn't have; and a relay node ignored what the other one announced.

The time counts from the first announcement of a change that the node lacks, gossip and heartbeats count alike, and a node without an open watch pulls at once.

cluster_view_test: an_equally_old_peer_doesnt_postpone_a_pull, a_node_without_an_open_watch_pulls_at_once and a_relay_node_pulls_what_another_one_announces failed before, pass now.

--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -155,8 +155,6 @@
     {
         cluster_rows rows;
         msec last_response_at = 0;
-        /// When a peer was first seen to be ahead; 0 if none is.
-        msec behind_since = 0;
         msec pulled_at = 0;
         row_arrival arrival{};
         /// The newest change that a peer has announced, and since when this
@@ -213,6 +211,8 @@
     void apply_relayed(const std::string& node,
                        const wire::rows_relay& message);
     void pull(std::size_t table, const std::string& peer_address);
+    /// Whether this node's own watch will probably return what a peer has.
+    bool expects_change(std::size_t table) const;
     void pull_if_behind(std::size_t table, store_version last_change,
                         const std::string& peer_address);
     void handle_response(const store_request& request,
--- a/src/gateway/cluster_view_peers.cpp
+++ b/src/gateway/cluster_view_peers.cpp
@@ -153,11 +153,10 @@
     {
         note_announced(n, newest[n], node, "relay");
         auto& it = tables_[n];
-        if (!it.relies_on_relays)
-            continue;
-        it.last_response_at = std::max(it.last_response_at, confirmed_at);
-        if (newest[n] > it.rows.last_change())
-            pull(n, sender->peer_address);
+        if (it.relies_on_relays)
+            it.last_response_at = std::max(it.last_response_at, confirmed_at);
+        if (it.relies_on_relays || !expects_change(n))
+            pull_if_behind(n, newest[n], sender->peer_address);
     }
 }
 
@@ -198,6 +197,13 @@
     link_.send(peer_address, std::move(message));
 }
 
+bool cluster_view::expects_change(std::size_t table) const
+{
+    const auto& it = tables_[table];
+    return it.open_watch && store_reached() &&
+           loop_.now() - it.announced_at < pull_delay;
+}
+
 void cluster_view::pull_if_behind(std::size_t table, store_version last_change,
                                   const std::string& peer_address)
 {
@@ -209,13 +215,14 @@
                                   const std::string& node, std::string_view by)
 {
     auto& it = tables_[table];
-    // Endpoints change too often for a line each.
-    if (table != index_of(cluster_table::operations) ||
-        last_change <= std::max(it.announced, it.rows.last_change()))
+    if (last_change <= std::max(it.announced, it.rows.last_change()))
         return;
     if (it.announced <= it.rows.last_change())
         it.announced_at = loop_.now();
     it.announced = last_change;
+    // Endpoints change too often for a line each.
+    if (table != index_of(cluster_table::operations))
+        return;
     log_.write(log_event::operations_announced,
                {{"peer", std::string_view(node)},
                 {"by", by},
@@ -230,7 +237,6 @@
     const auto known = std::min<std::size_t>(
         tables_.size(),
         static_cast<std::size_t>(message.table_versions_size()));
-    const auto now = loop_.now();
     if (message.dependable() && known == tables_.size())
         on_dependable_peer(
             last_change_of(message, index_of(cluster_table::endpoints)).era);
@@ -238,27 +244,14 @@
         pull(index_of(cluster_table::operations), peer_address);
     for (std::size_t n = 0; n < known; ++n)
     {
-        auto& it = tables_[n];
         const auto last_change = last_change_of(message, n);
         note_announced(n, last_change, sender.node, "gossip");
-        if (last_change <= it.rows.last_change())
-        {
-            it.behind_since = 0;
-            continue;
-        }
-        if (it.relies_on_relays)
-        {
+        if (tables_[n].relies_on_relays)
             loop_.call_after(relay_pull_delay,
                              [this, n, last_change, peer_address]
                              { pull_if_behind(n, last_change, peer_address); });
-            continue;
-        }
-        if (it.behind_since == 0)
-            it.behind_since = now;
-        const bool waits = store_reached() && it.rows.is_read() &&
-                           now - it.behind_since < pull_delay;
-        if (!waits)
-            pull(n, peer_address);
+        else if (!expects_change(n))
+            pull_if_behind(n, last_change, peer_address);
     }
 }
 
--- a/tests/unit/cluster_view_test.cpp
+++ b/tests/unit/cluster_view_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace galenapulley;
 
 namespace
@@ -13,15 +15,16 @@
 
 const std::string configuration_key = "config";
 
-/// A store that keeps the callbacks of reads.
+/// A store that responds only when a test does it.
 struct pending_store final : row_store
 {
     std::array<batch_callback, cluster_table_count> reads;
+    std::array<msec, cluster_table_count> read_timeouts{};
 
-    void read(cluster_table table, msec /*timeout*/,
-              batch_callback done) override
+    void read(cluster_table table, msec timeout, batch_callback done) override
     {
         reads.at(index_of(table)) = std::move(done);
+        read_timeouts.at(index_of(table)) = timeout;
     }
     void poll(cluster_table /*table*/, std::uint64_t /*after*/,
               msec /*timeout*/, batch_callback /*done*/) override
@@ -108,7 +111,7 @@
 /// A node whose store has configuration 9.
 struct one_view
 {
-    manual_clock time{1};
+    manual_clock time{10'000};
     control_loop loop{time};
     pending_store store;
     number_codec codec;
@@ -140,6 +143,34 @@
         BOOST_TEST_REQUIRE(published == 9U);
     }
 
+    /// Runs the timers that become due.
+    void advance(msec n)
+    {
+        constexpr msec step = 10;
+        for (; n > 0; n -= step)
+        {
+            time.advance(step);
+            loop.post([this] { loop.stop(); });
+            loop.run();
+        }
+    }
+
+    /// A peer's gossip that it has this change of the operations.
+    void hear_gossip(store_version change)
+    {
+        wire::gossip message;
+        message.add_table_versions(change.number);
+        message.add_table_eras(change.era);
+        view.on_gossip({.node = "n2", .peer_address = "n2"}, message);
+    }
+
+    std::size_t pulls() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(link.sent.begin(), link.sent.end(),
+                          [](const auto& it) { return it.has_rows_pull(); }));
+    }
+
     /// The configuration that a node gets which starts after the restore.
     std::string lost_configuration()
     {
@@ -173,3 +204,46 @@
     BOOST_TEST_REQUIRE(published == 12U);
     BOOST_TEST(lost_configuration() == "12");
 }
+
+// Guards against a node with a silent watch that doesn't pull what a peer has,
+// as gossip of other peers that lack it, too, postpones the pull again and
+// again.
+BOOST_FIXTURE_TEST_CASE(an_equally_old_peer_doesnt_postpone_a_pull, one_view)
+{
+    advance(100);
+    hear_gossip({0, 101});
+    BOOST_TEST(pulls() == 0U);
+    advance(cluster_view::pull_delay / 2);
+    hear_gossip({0, 90});
+    advance(cluster_view::pull_delay / 2);
+    hear_gossip({0, 101});
+    BOOST_TEST(pulls() == 1U);
+}
+
+// Guards against a node that waits for its own watch while it has none, but a
+// read that may be lost.
+BOOST_FIXTURE_TEST_CASE(a_node_without_an_open_watch_pulls_at_once, one_view)
+{
+    advance(100);
+    auto& read = store.reads.at(index_of(cluster_table::operations));
+    read = nullptr;
+    view.on_push("n2", push(cluster_table::endpoints, {1, 50}));
+    BOOST_TEST_REQUIRE(static_cast<bool>(read));
+    hear_gossip({1, 51});
+    BOOST_TEST(pulls() == 1U);
+}
+
+// Guards against a relay node whose watch is silent and that ignores what the
+// other relay node announces.
+BOOST_FIXTURE_TEST_CASE(a_relay_node_pulls_what_another_one_announces, one_view)
+{
+    advance(100);
+    view.set_domain_nodes({{.rank = {.node = "n2"}, .peer_address = "n2"}});
+    wire::rows_relay heartbeat;
+    heartbeat.set_newest_operations(101);
+    view.on_relay("n2", heartbeat);
+    BOOST_TEST(pulls() == 0U);
+    advance(cluster_view::pull_delay);
+    view.on_relay("n2", heartbeat);
+    BOOST_TEST(pulls() == 1U);
+}
