Gateway: refusals don't lengthen the timeout of reads

A node was late by more than 2 s where the store had refused requests and then lost the response to a read: the timeout of the read was doubled by each failed request, up to 4 s, also by a refusal that came at once. It is doubled only by reads that timed out.

--- a/src/gateway/cluster_view.hpp
+++ b/src/gateway/cluster_view.hpp
@@ -10,7 +10,6 @@
 #include "galenapulley/row_arrival.hpp"
 #include "gateway/row_store.hpp"
 
-#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -117,8 +116,9 @@
     /// Time within which the store must respond to a poll; a slow one takes a
     /// quarter of a second.
     static constexpr msec poll_timeout = 1000;
-    /// Timeout of a page of a read, doubled with each failure up to the second
-    /// value: a response may be lost, but a large table may also take long.
+    /// Timeout of a page of a read, doubled with each read that times out up to
+    /// the second value: a response may be lost, but a large table may also
+    /// take long.
     static constexpr msec min_read_timeout = 1000;
     static constexpr msec max_read_timeout = 4000;
     /// Pause between two watches of the endpoints, which often change together.
@@ -172,8 +172,8 @@
         std::uint64_t request_id = 0;
         std::optional<store_request> open_watch{};
 
-        /// How often pauses and timeouts are doubled after failures.
-        std::uint32_t doublings() const { return std::min(failures, 3U); }
+        /// How many reads in a row have timed out.
+        std::uint32_t late_reads = 0;
         /// No watch is open; relay nodes send the changes.
         bool relies_on_relays = false;
     };
@@ -183,6 +183,7 @@
     /// Sends the table's next request.
     void query_store(cluster_table table);
     row_store::batch_callback response_handler(const store_request& request);
+    static msec read_timeout(const table_state& table);
     void retry_query(const store_request& request, const absl::Status& status);
     /// Polls what an open watch would return.
     void verify_watches();
--- a/src/gateway/cluster_view_store.cpp
+++ b/src/gateway/cluster_view_store.cpp
@@ -32,9 +32,7 @@
     const bool is_outdated = it.rows.version().era < era();
     if (it.needs_read || is_outdated || !it.rows.is_read())
     {
-        const auto timeout =
-            std::min(max_read_timeout, min_read_timeout << it.doublings());
-        store_.read(table, timeout, response_handler(request));
+        store_.read(table, read_timeout(it), response_handler(request));
         return;
     }
     if (it.failures == 0 && !relay_role_.must_watch(loop_.now()))
@@ -92,15 +90,24 @@
     loop_.call_after(pause, [this, table] { query_store(table); });
 }
 
+msec cluster_view::read_timeout(const table_state& table)
+{
+    return std::min(max_read_timeout,
+                    min_read_timeout << std::min(table.late_reads, 2U));
+}
+
 void cluster_view::retry_query(const store_request& request,
                                const absl::Status& status)
 {
     const auto table = request.table;
+    auto& it = state(table);
+    const auto elapsed = loop_.now() - request.sent_at;
     on_store_failure(table, status);
+    if (request.route == row_route::read && elapsed >= read_timeout(it))
+        ++it.late_reads;
     const auto pause =
-        std::min(max_retry_pause, min_retry_pause << state(table).doublings());
+        std::min(max_retry_pause, min_retry_pause << std::min(it.failures, 3U));
     // A timeout has taken its time already.
-    const auto elapsed = loop_.now() - request.sent_at;
     loop_.call_after(std::max(pause - elapsed, 0_ms),
                      [this, table] { query_store(table); });
 }
@@ -113,6 +120,8 @@
                            .request_time = loop_.now() - request.sent_at,
                            .silent_time = age(table)});
     on_store_response(table);
+    if (request.route == row_route::read)
+        it.late_reads = 0;
     const auto era = batch.era.value_or(it.rows.version().era);
     const bool restored = era > it.rows.version().era;
     on_era(era);
--- a/tests/unit/cluster_view_test.cpp
+++ b/tests/unit/cluster_view_test.cpp
@@ -247,3 +247,23 @@
     view.on_relay("n2", heartbeat);
     BOOST_TEST(pulls() == 1U);
 }
+
+// Guards against a long timeout of a read, since the store refused requests
+// before.
+BOOST_FIXTURE_TEST_CASE(refusals_dont_lengthen_the_timeout_of_reads, one_view)
+{
+    constexpr auto table = index_of(cluster_table::operations);
+    advance(100);
+    view.on_push("n2", push(cluster_table::endpoints, {1, 50}));
+    for (int n = 0; n < 4; ++n)
+    {
+        store.reads.at(table)(absl::UnavailableError("status 503"));
+        advance(cluster_view::max_retry_pause);
+    }
+    BOOST_TEST(store.read_timeouts.at(table) == cluster_view::min_read_timeout);
+    advance(cluster_view::min_read_timeout);
+    store.reads.at(table)(absl::UnavailableError("timeout"));
+    advance(cluster_view::max_retry_pause);
+    BOOST_TEST(store.read_timeouts.at(table) ==
+               2 * cluster_view::min_read_timeout);
+}
