--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 from fleet import *  # noqa: E402,F403
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-DOWN_S = 1.5
+DOWN_S = 2.0
 KILLER = "killer"
 record = Record("record.txt")
 sent = 0
--- a/review/10/case.py
+++ b/review/7/case.py
@@ -85,7 +85,7 @@
             for _ in range(2):
                 threading.Thread(target=client, daemon=True, args=(
                     it, "count-lookup", lambda n: "/look/weir-%d" % n)).start()
-                # hot_key: many ask for the same thing.
+                # The route serves one thing.
                 threading.Thread(target=client, daemon=True, args=(
                     it, "tally-now", lambda n: "/tally/today")).start()
         time.sleep(2)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -565,8 +565,15 @@
             self.out.flush()
 
 
+def on_signal(number, _):
+    raise Unplayable("ended by signal %d" % number)
+
+
 def play(main):
-    """Runs a case and ends the process with its exit code."""
+    """Runs a case and ends the process with its exit code. A signal ends the
+    processes that the case has started as well."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, on_signal)
     try:
         code = main()
     except Unplayable as why:
